Run on the users' platform: adapter, shared store, jobs, calls and weight versions

Cause: the product had no adapter to the users' platform. New: platform/ translates; packages/rollout keeps and runs jobs, forwards calls and conducts weight versions; packages/core holds the decisions.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,8 +15,22 @@
     },
 };
 
+/** Names of the users' platform: its headers, its paths and the names of its documents. */
+const platformNames = String
+    .raw`/^tamarackpath-(deadline|response|expect|weight|not-exec|instance|wait|model|token|prompt|pin|hold|request|length|kv)|^\/tamarackpath\/|^op\/|^servers\//i`;
+
+const platformNamesStayInside = {
+    files: ["packages/**/*.ts", "apps/**/*.ts"],
+    rules: {
+        "no-restricted-syntax": ["error", {
+            selector: `Literal[value=${platformNames}]`,
+            message: "Names of the users' platform belong into platform/.",
+        }],
+    },
+};
+
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "out/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "out/**", "target/**"] },
     ...tseslint.configs.recommended,
     {
         rules: {
@@ -31,4 +45,5 @@
         },
     },
     coreIsPure,
+    platformNamesStayInside,
 );
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -7,5 +7,6 @@
 export * from "./lib/HttpPlainService.js";
 export * from "./lib/peerToken.js";
 export * from "./lib/readToml.js";
+export * from "./lib/SteadyClock.js";
 export * from "./lib/SystemClock.js";
 export * from "./lib/WsPeerNetwork.js";
--- /dev/null
+++ b/packages/core/src/lib/conduct/Tenure.ts
@@ -0,0 +1,61 @@
+/**
+ * What a host may do as conductor. The claim lives under a lease; its revision is the fencing token. After a claim that
+ * was not handed over, orders wait until the host before can no longer believe that it holds the claim.
+ */
+
+import { after, type Instant, type KeyRevision, type LeaseId } from "../ids.js";
+
+/** A claim that this host made. */
+export interface ConductorClaim {
+    readonly lease: LeaseId;
+    readonly fence: KeyRevision;
+}
+
+/** Milliseconds before the lease's deadline from which nothing more is ordered: the longest flight of an order. */
+const orderMarginMs = 700;
+
+/** The hold of one host on the conductor's duties. */
+export class Tenure {
+    private claim: ConductorClaim | undefined;
+    private validUntil = 0 as Instant;
+    private ordersFrom = 0 as Instant;
+    private orderedAt: Instant | undefined;
+
+    get current(): ConductorClaim | undefined {
+        return this.claim;
+    }
+
+    get lastOrderAt(): Instant | undefined {
+        return this.orderedAt;
+    }
+
+    begin(claim: ConductorClaim, validUntil: Instant, ordersFrom: Instant): void {
+        this.claim = claim;
+        this.validUntil = validUntil;
+        this.ordersFrom = ordersFrom;
+        this.orderedAt = undefined;
+    }
+
+    renew(lease: LeaseId, validUntil: Instant): void {
+        if (this.claim?.lease === lease) {
+            this.validUntil = validUntil;
+        }
+    }
+
+    end(): void {
+        this.claim = undefined;
+    }
+
+    /** Whether the lease surely still runs. */
+    isValid(now: Instant): boolean {
+        return this.claim !== undefined && now < this.validUntil;
+    }
+
+    mayOrder(now: Instant): boolean {
+        return this.claim !== undefined && now >= this.ordersFrom && now < after(this.validUntil, -orderMarginMs);
+    }
+
+    noteOrder(now: Instant): void {
+        this.orderedAt = now;
+    }
+}
--- a/packages/core/src/lib/ids.ts
+++ b/packages/core/src/lib/ids.ts
@@ -72,3 +72,15 @@
 export function msUntil(deadline: Instant, now: Instant): number {
     return Math.max(0, deadline - now);
 }
+
+/** Names one batch of tasks that a trainer submitted at once. */
+export type JobId = Brand<string, "JobId">;
+
+/** Names one task of a job; a task keeps its id when it comes again in a later job. */
+export type TaskId = Brand<string, "TaskId">;
+
+/** Names the tasks of a job that share a prompt. */
+export type GroupId = Brand<string, "GroupId">;
+
+/** Names a route of the configuration. */
+export type RouteId = Brand<string, "RouteId">;
--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -5,12 +5,24 @@
 import { type Epoch } from "../delivery/Cursor.js";
 import { type StepCounts } from "../delivery/StepLedger.js";
 import { type Sample, type StepSpec } from "../delivery/StepSpec.js";
-import { type AttemptId, type CallerId, type HostId, type ServiceId, type StepId, type WeightVersion } from "../ids.js";
+import { type TargetEntryView } from "../directory/TargetDirectory.js";
+import {
+    type AttemptId,
+    type CallerId,
+    type HostId,
+    type JobId,
+    type ServiceId,
+    type StepId,
+    type TaskId,
+    type WeightVersion,
+} from "../ids.js";
+import { type Job, type ResultPage } from "../jobs/Job.js";
 import { type GossipMessage } from "../membership/MemberRecord.js";
 import { type SyncMessage } from "../membership/membershipMessages.js";
 import { type ZoneMessage } from "../membership/ZoneDirectory.js";
 import { type SharedEntry } from "../shared/SharedBook.js";
 import { type SharedReport } from "../targets/ReportBook.js";
+import { type OperatorView } from "./RolloutTargets.js";
 
 /** Names a step to its owner. */
 export interface StepReference {
@@ -116,6 +128,26 @@
     readonly deadline: number;
 }
 
+/** What the conductor hands to the other hosts. */
+export interface SharedView {
+    /** Rises with each change at this conductor. */
+    readonly number: number;
+    /** Milliseconds since the conductor read it from the store, or undefined when it has read nothing yet. */
+    readonly ageMs: number | undefined;
+    /** Absent when nothing changed since `have`. */
+    readonly content: { readonly operator: OperatorView; readonly targets: readonly TargetEntryView[]; } | undefined;
+}
+
+/** Whether a job is kept from now on; "unknown" means that it may be kept. */
+export interface JobAcceptance {
+    readonly outcome: "kept" | "not-kept" | "unknown";
+}
+
+/** Says that no such job, or no such task of it, exists. */
+export interface JobUnknown {
+    readonly unknown: true;
+}
+
 /** Requests between peers. */
 export interface PeerRequests {
     "member-probe": { readonly ask: GossipMessage; readonly answer: GossipMessage; };
@@ -149,6 +181,26 @@
         readonly ask: { readonly service: ServiceId; readonly version: WeightVersion; };
         readonly answer: Record<string, never>;
     };
+    /** What the conductor knows of the platform's documents; waits a moment for something newer than `have`. */
+    "view-pull": { readonly ask: { readonly have: number; }; readonly answer: SharedView; };
+    /** Which host the asked one takes for the conductor. */
+    "conductor-ask": {
+        readonly ask: Record<string, never>;
+        readonly answer: { readonly conductor: HostId | undefined; };
+    };
+    "job-submit": {
+        readonly ask: { readonly job: Job; readonly deadlineMs: number; };
+        readonly answer: JobAcceptance;
+    };
+    "job-read": {
+        readonly ask: { readonly job: JobId; readonly after: number; readonly waitMs: number; };
+        readonly answer: ResultPage | JobUnknown;
+    };
+    "job-body": {
+        readonly ask: { readonly job: JobId; readonly task: TaskId; };
+        readonly answer: { readonly body: Uint8Array; } | JobUnknown;
+    };
+    "job-end": { readonly ask: { readonly job: JobId; }; readonly answer: { readonly ended: true; } | JobUnknown; };
     /** Requests that the asking host has in flight, by target. */
     "in-flight": {
         readonly ask: { readonly host: HostId; readonly counts: Readonly<Record<string, number>>; };
--- /dev/null
+++ b/packages/rollout/src/index.ts
@@ -0,0 +1,7 @@
+/** Tasks that keep and run jobs, forward calls and conduct weight versions over a shared store. */
+
+export * from "./lib/CallForwarder.js";
+export * from "./lib/Journal.js";
+export * from "./lib/journalEvents.js";
+export * from "./lib/RolloutHost.js";
+export * from "./lib/RolloutSettings.js";
--- /dev/null
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -0,0 +1,234 @@
+/**
+ * Keeps one conductor: the host that reads the platform's documents for the others, runs the jobs and orders weight
+ * versions. The claim is a key under a lease. Hosts that hear the conductor leave the store alone; a host that no longer
+ * hears it looks the claim up, and claims when there is none. A host that stops hands the claim over in writing.
+ */
+
+import {
+    after,
+    type Clock,
+    type ConductorClaim,
+    type HostId,
+    type Instant,
+    jobKeys,
+    type KeyRevision,
+    sleepUntil,
+    type StoredItem,
+    Tenure,
+    type TransactionalStore,
+} from "@tamarackpath/core";
+import Emittery from "emittery";
+import { pack, unpack } from "msgpackr";
+import { type Journal } from "./Journal.js";
+import { type RolloutSettings } from "./RolloutSettings.js";
+
+/** What the claim's key holds. */
+interface ClaimRecord {
+    readonly host: HostId;
+    /** Set when the holder gave it up; wall-clock time of its last order, if it gave any. */
+    readonly resigned?: { readonly lastOrderAt: number | undefined; };
+}
+
+/** What may happen to the claim. */
+export interface ConductorEvents {
+    readonly claimed: undefined;
+    readonly lost: undefined;
+    readonly conductor: HostId | undefined;
+}
+
+/** Settings of one host's part. */
+export interface ConductorOptions {
+    readonly self: HostId;
+    readonly settings: RolloutSettings;
+    /** Milliseconds that this host lets others claim first. */
+    readonly claimDelayMs: () => number;
+    /** False while the host stops or is to be emptied. */
+    readonly mayClaim: () => boolean;
+}
+
+/** Milliseconds after which a lookup of the claim is repeated while the conductor is not heard. */
+const lookupEveryMs = 400;
+
+/** Keeps this host's belief in who conducts, and its own claim. */
+export class ConductorTask {
+    readonly events = new Emittery<ConductorEvents>();
+    readonly tenure = new Tenure();
+    private believed: HostId | undefined;
+    private renewing = false;
+    private stopped = false;
+
+    constructor(
+        private readonly options: ConductorOptions,
+        private readonly store: TransactionalStore,
+        private readonly clock: Clock,
+        private readonly journal: Journal,
+    ) {}
+
+    /** The host that conducts, as far as this one knows. */
+    get conductor(): HostId | undefined {
+        return this.believed;
+    }
+
+    get isConductor(): boolean {
+        return this.tenure.current !== undefined;
+    }
+
+    /** Looks up who conducts, and claims when nobody does; resolves when it is known or could not be learnt. */
+    async lookUp(): Promise<void> {
+        const found = await this.store.get(jobKeys.claim, "conductor");
+        const item = found.toMaybe().extract();
+        if (found.isLeft()) {
+            await this.pause(lookupEveryMs);
+            return;
+        }
+        const record = item === undefined ? undefined : readRecord(item);
+        if (record !== undefined && record.resigned === undefined && record.host !== this.options.self) {
+            this.believe(record.host);
+            return;
+        }
+        this.believe(undefined);
+        if (this.options.mayClaim()) {
+            await this.claim(item, record);
+        }
+        else {
+            await this.pause(lookupEveryMs);
+        }
+    }
+
+    /** Takes another host's word for who conducts, when the store cannot be asked. */
+    takeWord(host: HostId | undefined): void {
+        if (host !== undefined && host !== this.options.self && !this.isConductor) {
+            this.believe(host);
+        }
+    }
+
+    /** Takes a change of the claim's key that a watch saw. */
+    noteChange(item: StoredItem | undefined): void {
+        const claim = this.tenure.current;
+        if (claim !== undefined && item?.revision !== claim.fence) {
+            this.lose(item === undefined ? "The claim's key is gone." : "Another host holds the claim.");
+        }
+    }
+
+    /** Gives the claim to whoever takes it next. */
+    async resign(): Promise<void> {
+        this.stopped = true;
+        const claim = this.tenure.current;
+        if (claim === undefined) {
+            return;
+        }
+        const lastOrderAt = this.tenure.lastOrderAt === undefined
+            ? undefined
+            : Date.now() - (this.clock.now() - this.tenure.lastOrderAt);
+        this.tenure.end();
+        const record: ClaimRecord = { host: this.options.self, resigned: { lastOrderAt } };
+        const res = await this.store.commit(
+            {
+                expected: [{ key: jobKeys.claim, revision: claim.fence }],
+                puts: [{ key: jobKeys.claim, value: pack(record) }],
+                removes: [],
+            },
+            "conductor",
+        );
+        this.journal.note("conductor-resigned", { written: res.isRight() });
+        this.believe(undefined);
+        await this.events.emit("lost");
+    }
+
+    private async claim(item: StoredItem | undefined, record: ClaimRecord | undefined): Promise<void> {
+        await this.pause(
+            record?.resigned === undefined ? this.options.claimDelayMs() : this.options.claimDelayMs() / 4,
+        );
+        const { claimTtlMs } = this.options.settings;
+        const leased = await this.store.grantLease(claimTtlMs);
+        const lease = leased.toMaybe().extract();
+        if (lease === undefined || !this.options.mayClaim()) {
+            return;
+        }
+        const res = await this.store.commit(
+            {
+                expected: [{ key: jobKeys.claim, revision: item?.revision ?? 0 as KeyRevision }],
+                puts: [{ key: jobKeys.claim, value: pack({ host: this.options.self }), lease: lease.id }],
+                removes: [],
+            },
+            "conductor",
+        );
+        await res.caseOf<Promise<void>>({
+            Left: async () => undefined,
+            Right: async result => {
+                if (result.kind === "committed") {
+                    await this.begin({ lease: lease.id, fence: result.revision }, lease.deadline, record);
+                }
+            },
+        });
+    }
+
+    private async begin(claim: ConductorClaim, deadline: Instant, before: ClaimRecord | undefined): Promise<void> {
+        const now = this.clock.now();
+        const lastOrderAt = before?.resigned?.lastOrderAt;
+        const calmMs = before?.resigned === undefined
+            ? this.options.settings.claimTtlMs
+            : lastOrderAt === undefined
+            ? 0
+            : Math.max(0, lastOrderAt + this.options.settings.claimTtlMs - Date.now());
+        this.tenure.begin(claim, deadline, after(now, calmMs));
+        this.journal.note("conductor-claimed", { fence: claim.fence, ordersInMs: calmMs });
+        this.believe(this.options.self);
+        void this.renew();
+        await this.events.emit("claimed");
+    }
+
+    private async renew(): Promise<void> {
+        if (this.renewing) {
+            return;
+        }
+        this.renewing = true;
+        try {
+            while (this.tenure.current !== undefined && !this.stopped) {
+                await this.pause(this.options.settings.claimRenewMs);
+                const claim = this.tenure.current as ConductorClaim | undefined;
+                if (claim === undefined) {
+                    return;
+                }
+                const res = await this.store.keepLease(claim.lease, this.options.settings.claimTtlMs);
+                res.ifRight(lease => {
+                    if (lease === undefined) {
+                        this.lose("The lease has ended.");
+                    }
+                    else {
+                        this.tenure.renew(lease.id, lease.deadline);
+                    }
+                });
+            }
+        }
+        finally {
+            this.renewing = false;
+        }
+    }
+
+    private lose(reason: string): void {
+        if (this.tenure.current === undefined) {
+            return;
+        }
+        this.journal.note("conductor-lost", { fence: this.tenure.current.fence, reason });
+        this.tenure.end();
+        this.believe(undefined);
+        void this.events.emit("lost");
+    }
+
+    private believe(host: HostId | undefined): void {
+        if (host !== this.believed) {
+            this.believed = host;
+            this.journal.note("conductor-changed", { conductor: host ?? "none" });
+            void this.events.emit("conductor", host);
+        }
+    }
+
+    private pause(ms: number): Promise<void> {
+        return sleepUntil(this.clock, after(this.clock.now(), ms));
+    }
+}
+
+function readRecord(item: StoredItem): ClaimRecord {
+    return unpack(item.value) as ClaimRecord;
+}
--- /dev/null
+++ b/packages/rollout/src/lib/JobBook.ts
@@ -0,0 +1,298 @@
+/**
+ * The conductor's jobs: opens and ends them, writes their results, and answers reads from memory. What is not in memory
+ * is read from the store, which also settles what this host cannot be sure of.
+ */
+
+import {
+    after,
+    type Clock,
+    type Instant,
+    type Job,
+    type JobBoard,
+    type JobId,
+    JobLog,
+    type JobTerms,
+    type KeyRevision,
+    type OpenJob,
+    sleepUntil,
+    type StoredItem,
+    type TaskResult,
+    type TaskRun,
+} from "@tamarackpath/core";
+import Emittery from "emittery";
+import { type JobStore, partsOf } from "./JobStore.js";
+import { type Journal } from "./Journal.js";
+import { type RolloutSettings } from "./RolloutSettings.js";
+
+/** What may happen to jobs. */
+export interface JobBookEvents {
+    readonly opened: OpenJob;
+    /** Runs of a job that has ended; they are stopped. */
+    readonly stopped: readonly TaskRun[];
+    readonly listed: JobId;
+}
+
+/** What the book needs. */
+export interface JobBookOptions {
+    readonly settings: RolloutSettings;
+    /** The terms of a job by the routes in force, or undefined when no route fits it. */
+    readonly termsOf: (job: Job) => JobTerms | undefined;
+    /** Revision of this host's claim, while it has one. */
+    readonly fence: () => KeyRevision | undefined;
+    /** Told of the claim's key when a write shows that it changed. */
+    readonly onClaimChanged: (item: StoredItem | undefined) => void;
+}
+
+interface KeptLog {
+    readonly log: JobLog;
+    readonly total: number;
+    readonly endedAt: Instant;
+}
+
+/** Milliseconds between tries to write results that the store did not take. */
+const rewriteMs = 150;
+
+/** Milliseconds for which an ended job's results stay in memory. */
+const rememberMs = 20_000;
+
+/** Most chunks of an ended job; keys beyond it are left to the next clean-up. */
+const mostForgottenAtOnce = 4;
+
+/** Keeps the jobs of the conductor. */
+export class JobBook {
+    readonly events = new Emittery<JobBookEvents>();
+    private readonly flushing = new Set<JobId>();
+    private readonly ended = new Map<JobId, KeptLog>();
+    private readonly opening = new Set<JobId>();
+    /** Stored jobs that no known route fits yet. */
+    private readonly unplaced = new Map<JobId, Job>();
+    private isActive = false;
+
+    constructor(
+        private readonly options: JobBookOptions,
+        readonly board: JobBoard,
+        private readonly jobs: JobStore,
+        private readonly clock: Clock,
+        private readonly journal: Journal,
+    ) {}
+
+    /** Begins to accept jobs, after the host became conductor; jobs that it still knows are compared with the store. */
+    activate(): void {
+        this.isActive = true;
+        this.board.open.forEach(open => void this.refresh(open));
+    }
+
+    /** Forgets every job, after the host lost the claim. */
+    deactivate(): void {
+        this.isActive = false;
+        this.board.open.forEach(open => void this.events.emit("stopped", this.board.remove(open.job.id)));
+        this.ended.clear();
+        this.unplaced.clear();
+    }
+
+    /** Opens a job that the store holds; `isNew` spares the reading of its results. */
+    async open(job: Job, isNew: boolean): Promise<void> {
+        if (!this.isActive || this.opening.has(job.id) || this.knows(job.id)) {
+            return;
+        }
+        const terms = this.options.termsOf(job);
+        if (terms === undefined) {
+            this.unplaced.set(job.id, job);
+            return;
+        }
+        this.unplaced.delete(job.id);
+        this.opening.add(job.id);
+        try {
+            const log = isNew ? new JobLog() : await this.readLog(job.id);
+            if (!this.isActive || this.ended.has(job.id)) {
+                return;
+            }
+            const open = this.board.add(job, terms, log);
+            this.journal.note("job-opened", {
+                job: job.id,
+                step: job.step,
+                tasks: job.tasks.length,
+                listed: log.listed.length,
+                minVersion: job.minVersion,
+                resumed: open.waiting.filter(run => run.progress.events > 0).length,
+            });
+            await this.events.emit("opened", open);
+        }
+        finally {
+            this.opening.delete(job.id);
+        }
+    }
+
+    /** Opens a job that was just stored; it may have been stored and partly run before. */
+    async openKept(job: Job): Promise<void> {
+        await this.open(job, false);
+    }
+
+    /** Takes the routes in force: jobs move with their route, and those that waited for one are opened. */
+    async applyRoutes(): Promise<void> {
+        for (const open of this.board.open) {
+            open.terms = this.options.termsOf(open.job) ?? open.terms;
+        }
+        for (const job of [...this.unplaced.values()]) {
+            await this.open(job, false);
+        }
+    }
+
+    hasEnded(job: JobId): boolean {
+        return this.ended.has(job);
+    }
+
+    knows(job: JobId): boolean {
+        return this.board.get(job) !== undefined || this.ended.has(job);
+    }
+
+    /** The results of a job in memory, with the number of its tasks. */
+    logOf(job: JobId): { readonly log: JobLog; readonly total: number; } | undefined {
+        const open = this.board.get(job);
+        return open === undefined ? this.ended.get(job) : { log: open.log, total: open.job.tasks.length };
+    }
+
+    /** Ends a job; true once the store holds its mark. */
+    async end(id: JobId): Promise<boolean> {
+        const open = this.board.get(id);
+        if (open === undefined) {
+            return this.ended.has(id);
+        }
+        const { job } = open;
+        const res = await this.jobs.end(id, job.tasks.length, partsOf(job));
+        if (res.isLeft()) {
+            return false;
+        }
+        this.close(id);
+        return true;
+    }
+
+    /** Takes note that the store says that a job has ended. */
+    close(id: JobId): void {
+        const open = this.board.get(id);
+        if (open === undefined) {
+            return;
+        }
+        const stopped = this.board.remove(id);
+        this.ended.set(id, { log: open.log, total: open.job.tasks.length, endedAt: this.clock.now() });
+        this.journal.note("job-ended", {
+            job: id,
+            listed: open.log.listed.length,
+            tasks: open.job.tasks.length,
+            stopped: stopped.length,
+        });
+        void this.events.emit("stopped", stopped);
+        void this.events.emit("listed", id);
+    }
+
+    /** Queues a task's result to be written. */
+    addResult(open: OpenJob, result: TaskResult): void {
+        if (open.log.add(result)) {
+            void this.flush(open);
+        }
+    }
+
+    /** Drops ended jobs from memory, and from the store what nobody may read any more. */
+    forgetOld(): void {
+        const now = this.clock.now();
+        for (const [job, { endedAt }] of this.ended) {
+            if (now - endedAt > rememberMs) {
+                this.ended.delete(job);
+            }
+        }
+    }
+
+    /** Removes ended jobs from the store once their results need not be readable any more. */
+    async sweep(marks: readonly { readonly job: JobId; readonly endedAt: number; }[]): Promise<void> {
+        const old = marks.filter(({ endedAt }) => Date.now() - endedAt > this.options.settings.keepResultsMs);
+        for (const { job } of old.slice(0, mostForgottenAtOnce)) {
+            const chunks = (await this.jobs.results(job)).toMaybe().extract();
+            if (chunks !== undefined) {
+                await this.jobs.forget([{ job, chunks: chunks.length }]);
+            }
+        }
+    }
+
+    private async flush(open: OpenJob): Promise<void> {
+        const { job, log } = open;
+        if (this.flushing.has(job.id)) {
+            return;
+        }
+        this.flushing.add(job.id);
+        try {
+            await sleepUntil(this.clock, after(this.clock.now(), this.gatherMs(open)));
+            while (this.isActive && this.board.get(job.id) === open && log.hasPending) {
+                if (!await this.writeNext(open)) {
+                    await sleepUntil(this.clock, after(this.clock.now(), rewriteMs));
+                }
+            }
+        }
+        finally {
+            this.flushing.delete(job.id);
+        }
+    }
+
+    private async writeNext(open: OpenJob): Promise<boolean> {
+        const { job, log } = open;
+        const fence = this.options.fence();
+        if (fence === undefined) {
+            return false;
+        }
+        const chunk = log.takeChunk()!;
+        const res = await this.jobs.append(job.id, chunk, fence);
+        return res.caseOf({
+            Left: failure => {
+                if (failure.claim !== undefined) {
+                    this.options.onClaimChanged(failure.claim.item);
+                }
+                this.journal.note("store-write-retried", {
+                    job: job.id,
+                    chunk: chunk.number,
+                    applied: failure.applied,
+                    detail: failure.detail,
+                });
+                return false;
+            },
+            Right: standing => {
+                log.adopt(standing);
+                this.journal.note("results-listed", {
+                    job: job.id,
+                    chunk: standing.number,
+                    tasks: standing.results.map(({ task, state }) => state === "completed" ? task : `${task} ${state}`),
+                    listed: log.listed.length,
+                    total: job.tasks.length,
+                    own: standing === chunk,
+                });
+                void this.events.emit("listed", job.id);
+                return true;
+            },
+        });
+    }
+
+    /** Milliseconds to gather results: none once nothing else of the job is under way. */
+    private gatherMs({ waiting, running }: OpenJob): number {
+        return waiting.length + running.size === 0 ? 0 : this.options.settings.gatherMs;
+    }
+
+    /** Takes results that another host listed while this one did not hold the claim. */
+    private async refresh(open: OpenJob): Promise<void> {
+        const log = await this.readLog(open.job.id);
+        log.chunks.forEach(chunk => open.log.adopt(chunk));
+        void this.events.emit("stopped", this.board.dropListed(open));
+        void this.flush(open);
+        void this.events.emit("listed", open.job.id);
+    }
+
+    private async readLog(job: JobId): Promise<JobLog> {
+        const log = new JobLog();
+        while (this.isActive) {
+            const chunks = (await this.jobs.results(job)).toMaybe().extract();
+            if (chunks !== undefined) {
+                chunks.forEach(chunk => log.adopt(chunk));
+                return log;
+            }
+            await sleepUntil(this.clock, after(this.clock.now(), rewriteMs));
+        }
+        return log;
+    }
+}
--- /dev/null
+++ b/packages/rollout/src/lib/JobStore.ts
@@ -0,0 +1,221 @@
+/**
+ * Jobs in the store. A job is one conditional write; each chunk of its results is another under a key that must not
+ * exist; its end removes the job's document and leaves a mark with the number of tasks. Every write can be repeated with
+ * the same content, so an answer that was lost, or a write that takes effect late, does no harm.
+ */
+
+import {
+    type Clock,
+    type CommitResult,
+    type Instant,
+    type Job,
+    type JobId,
+    jobKeys,
+    type KeyRevision,
+    type KeyValueFailure,
+    type ResultChunk,
+    sleepUntil,
+    type StoredItem,
+    type TransactionalStore,
+} from "@tamarackpath/core";
+import { pack, unpack } from "msgpackr";
+import { type Either, Left, Right } from "purify-ts";
+
+/** What the mark of an ended job says. */
+export interface EndedJob {
+    readonly total: number;
+    readonly endedAt: number;
+}
+
+/** A job as the store holds it. */
+export type StoredJob =
+    | { readonly kind: "open"; readonly job: Job; }
+    | { readonly kind: "ended"; readonly ended: EndedJob; }
+    | { readonly kind: "absent"; };
+
+/** How a write ended: "unknown" means that it may have taken effect, now or later. */
+export type KeepOutcome = "kept" | "not-kept" | "unknown";
+
+/** Why results could not be written; `claim` holds the claim's key as it stands when it is no longer this host's. */
+export interface AppendFailure extends KeyValueFailure {
+    readonly claim: { readonly item: StoredItem | undefined; } | undefined;
+}
+
+/** Bytes of a document's part, below the store's 1 MiB value after base64. */
+const partBytes = 700_000;
+
+/** Milliseconds between tries of a write that the store did not take. */
+const retryMs = 150;
+
+const absent = 0 as KeyRevision;
+
+/** Reads and writes jobs. */
+export class JobStore {
+    constructor(private readonly store: TransactionalStore, private readonly clock: Clock) {}
+
+    /** Stores a job, trying until `deadline`. */
+    async keep(job: Job, deadline: Instant, signal?: AbortSignal): Promise<KeepOutcome> {
+        const puts = documentsOf(job);
+        let mayBeKept = false;
+        for (;;) {
+            const res = await this.store.commit(
+                {
+                    expected: [{ key: jobKeys.open(job.id), revision: absent }, {
+                        key: jobKeys.ended(job.id),
+                        revision: absent,
+                    }],
+                    puts,
+                    removes: [],
+                },
+                "jobs",
+            );
+            const settled = res.caseOf<KeepOutcome | undefined>({
+                Right: () => "kept",
+                Left: failure => {
+                    mayBeKept ||= failure.applied === "unknown";
+                    return undefined;
+                },
+            });
+            if (settled !== undefined) {
+                return settled;
+            }
+            if (this.clock.now() + retryMs >= deadline || signal?.aborted === true) {
+                return mayBeKept ? "unknown" : "not-kept";
+            }
+            await sleepUntil(this.clock, (this.clock.now() + retryMs) as Instant, signal);
+        }
+    }
+
+    /** Ends a job. Left when it is not known to have ended. */
+    async end(job: JobId, total: number, parts: number): Promise<Either<KeyValueFailure, CommitResult>> {
+        const mark: EndedJob = { total, endedAt: Date.now() };
+        return this.store.commit(
+            {
+                expected: [],
+                puts: [{ key: jobKeys.ended(job), value: pack(mark) }],
+                removes: [
+                    jobKeys.open(job),
+                    ...Array.from({ length: parts }, (unused, nth) => jobKeys.openPart(job, nth)),
+                ],
+            },
+            "jobs",
+        );
+    }
+
+    async find(job: JobId): Promise<Either<KeyValueFailure, StoredJob>> {
+        const open = await this.store.get(jobKeys.open(job), "jobs");
+        const item = open.toMaybe().extract();
+        if (item !== undefined) {
+            return (await this.readOpen(item)).map(found =>
+                found === undefined ? { kind: "absent" } : { kind: "open", job: found }
+            );
+        }
+        if (open.isLeft()) {
+            return open.map(() => ({ kind: "absent" }));
+        }
+        const ended = await this.store.get(jobKeys.ended(job), "jobs");
+        return ended.map(mark =>
+            mark === undefined ? { kind: "absent" } : { kind: "ended", ended: unpack(mark.value) as EndedJob }
+        );
+    }
+
+    /** The job of the document `item`, with its further parts read from the store. */
+    async readOpen(item: StoredItem): Promise<Either<KeyValueFailure, Job | undefined>> {
+        const head = unpack(item.value) as JobDocument;
+        if (head.parts === 0) {
+            return Right(head.job);
+        }
+        const parts = await this.store.range(jobKeys.partsPrefix(head.id), "jobs");
+        return parts.map(({ items }) => {
+            const whole = items.length === head.parts;
+            return whole ? unpack(Buffer.concat(items.map(part => part.value))) as Job : undefined;
+        });
+    }
+
+    /** Every result that is listed, in chunks. */
+    async results(job: JobId): Promise<Either<KeyValueFailure, readonly ResultChunk[]>> {
+        const range = await this.store.range(jobKeys.resultsPrefix(job), "results");
+        return range.map(({ items }) => items.map(readChunk));
+    }
+
+    /**
+     * Writes a chunk under the claim `fence`, so that a host that lost the claim cannot list results any more. Right
+     * holds what stands under the chunk's number: `chunk` itself when this call wrote it.
+     */
+    async append(job: JobId, chunk: ResultChunk, fence: KeyRevision): Promise<Either<AppendFailure, ResultChunk>> {
+        const key = jobKeys.chunk(job, chunk.number);
+        const value = pack(chunk);
+        const res = await this.store.commit(
+            {
+                expected: [{ key, revision: absent }, { key: jobKeys.claim, revision: fence }],
+                puts: [{ key, value }],
+                removes: [],
+            },
+            "results",
+        );
+        return res.mapLeft<AppendFailure>(failure => ({ ...failure, claim: undefined })).chain(result => {
+            if (result.kind === "committed") {
+                return Right(chunk);
+            }
+            const current = result.kind === "conflict" ? result.current : [];
+            const standing = current.find(item => item.key === key);
+            return standing === undefined
+                ? Left({
+                    applied: "no",
+                    detail: "The claim is no longer this host's.",
+                    claim: { item: current.find(item => item.key === jobKeys.claim) },
+                })
+                : Right(readChunk(standing));
+        });
+    }
+
+    /** Removes what is left of jobs that ended before `before`. */
+    async forget(jobs: readonly { readonly job: JobId; readonly chunks: number; }[]): Promise<void> {
+        for (const { job, chunks } of jobs) {
+            const removes = [
+                jobKeys.ended(job),
+                ...Array.from({ length: chunks }, (unused, nth) => jobKeys.chunk(job, nth)),
+            ];
+            for (let nth = 0; nth < removes.length; nth += mostKeysPerCommit) {
+                await this.store.commit(
+                    { expected: [], puts: [], removes: removes.slice(nth, nth + mostKeysPerCommit) },
+                    "results",
+                );
+            }
+        }
+    }
+}
+
+/** Keys that one commit of the store may touch. */
+const mostKeysPerCommit = 30;
+
+interface JobDocument {
+    readonly id: JobId;
+    /** Number of further parts; with none the job stands in the document itself. */
+    readonly parts: number;
+    readonly job: Job;
+}
+
+function documentsOf(job: Job): { key: string; value: Uint8Array; }[] {
+    const whole = pack(job);
+    if (whole.length <= partBytes) {
+        return [{ key: jobKeys.open(job.id), value: pack({ id: job.id, parts: 0, job }) }];
+    }
+    const parts = Array.from(
+        { length: Math.ceil(whole.length / partBytes) },
+        (unused, nth) => ({
+            key: jobKeys.openPart(job.id, nth),
+            value: whole.subarray(nth * partBytes, (nth + 1) * partBytes),
+        }),
+    );
+    return [{ key: jobKeys.open(job.id), value: pack({ id: job.id, parts: parts.length }) }, ...parts];
+}
+
+/** Number of parts that a job's document has besides its head. */
+export function partsOf(job: Job): number {
+    return documentsOf(job).length - 1;
+}
+
+function readChunk(item: StoredItem): ResultChunk {
+    return unpack(item.value) as ResultChunk;
+}
--- /dev/null
+++ b/packages/rollout/src/lib/RolloutSettings.ts
@@ -0,0 +1,38 @@
+/** Settings of the rollout tasks, with their defaults. Durations are in milliseconds. */
+
+/** What can be tuned. */
+export interface RolloutSettings {
+    /** Lifetime of the conductor's claim without renewal; the longest gap after which another host takes over. */
+    readonly claimTtlMs: number;
+    readonly claimRenewMs: number;
+    /** Time between readings of the operators' and the targets' documents. */
+    readonly pollMs: number;
+    /** Age of the conductor's news from which on a host reads the documents itself. */
+    readonly staleViewMs: number;
+    /** Time for which finished results are gathered into one write. */
+    readonly gatherMs: number;
+    /** Time without an event after which a run is taken up elsewhere. */
+    readonly stallMs: number;
+    /** Share of a model's engines that may change weights at once. */
+    readonly changingShare: number;
+    /** Time that a change of weights takes. */
+    readonly changeMs: number;
+    /** Share of a call's target latency after which an idempotent call is sent to a second target. */
+    readonly hedgeShare: number;
+    /** Time for which an ended job's results stay readable. */
+    readonly keepResultsMs: number;
+}
+
+/** The defaults. */
+export const defaultRolloutSettings: RolloutSettings = {
+    claimTtlMs: 3000,
+    claimRenewMs: 800,
+    pollMs: 600,
+    staleViewMs: 1300,
+    gatherMs: 150,
+    stallMs: 2500,
+    changingShare: 0.25,
+    changeMs: 950,
+    hedgeShare: 0.45,
+    keepResultsMs: 120_000,
+};
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,13 @@
+// Bundles the program of the platform's hosts into one file, so that a start reads one file.
+import { build } from "esbuild";
+
+await build({
+    entryPoints: ["platform/src/main.ts"],
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    outfile: "target/tamarackd.cjs",
+    conditions: ["tamarackpath-source"],
+    logLevel: "warning",
+});
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -2,7 +2,7 @@
 import { spawnSync } from "node:child_process";
 import { existsSync, readFileSync, rmSync } from "node:fs";
 
-const specs = ["packages/*/src/**/*.test.ts", "apps/*/src/**/*.test.ts"];
+const specs = ["packages/*/src/**/*.test.ts", "apps/*/src/**/*.test.ts", "platform/src/**/*.test.ts"];
 const summaryFile = "out/test-summary.json";
 
 function knownRed() {
