--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,6 +29,8 @@
 export * from "./lib/jobs/Job.js";
 export * from "./lib/jobs/JobBoard.js";
 export * from "./lib/jobs/JobLog.js";
+export * from "./lib/jobs/MovePlan.js";
+export * from "./lib/jobs/PaceBook.js";
 export * from "./lib/jobs/TaskProgress.js";
 export * from "./lib/keyvalue/CallCircuit.js";
 export * from "./lib/keyvalue/KeyValueDuty.js";
--- a/packages/core/src/lib/conduct/Tenure.ts
+++ b/packages/core/src/lib/conduct/Tenure.ts
@@ -36,6 +36,10 @@
         this.orderedAt = undefined;
     }
 
+    setOrdersFrom(at: Instant): void {
+        this.ordersFrom = at;
+    }
+
     renew(lease: LeaseId, validUntil: Instant): void {
         if (this.claim?.lease === lease) {
             this.validUntil = validUntil;
--- a/packages/core/src/lib/conduct/VersionPlan.ts
+++ b/packages/core/src/lib/conduct/VersionPlan.ts
@@ -54,6 +54,9 @@
 /** Milliseconds before an engine that was busy or refused is ordered again. */
 const retryMs = 300;
 
+/** Milliseconds after a change within which an engine's runs may still be paused. */
+const pauseSlackMs = 500;
+
 /** Plans the changes of one model. */
 export class VersionPlan {
     private readonly tracks = new Map<TargetId, Track>();
@@ -73,6 +76,9 @@
     /** The version that the engine serves at `now`, or undefined while it changes. */
     versionOf(engine: EngineState, now: Instant): WeightVersion | undefined {
         const track = this.trackOf(engine);
+        if (track.sending) {
+            return undefined;
+        }
         if (track.ordered === undefined || track.ordered <= engine.version) {
             return engine.version;
         }
@@ -153,6 +159,12 @@
         }
     }
 
+    /** Whether the engine changes, or changed a moment ago. */
+    isPaused(target: TargetId, now: Instant): boolean {
+        const track = this.tracks.get(target);
+        return track !== undefined && (track.sending || now < track.readyAt + pauseSlackMs);
+    }
+
     /** When engines that change should serve again. */
     readyTimes(): readonly Instant[] {
         return [...this.tracks.values()].map(({ readyAt }) => readyAt);
--- a/packages/core/src/lib/directory/TargetDirectory.ts
+++ b/packages/core/src/lib/directory/TargetDirectory.ts
@@ -31,13 +31,18 @@
 export const returnGraceMs = 2000;
 
 /** Milliseconds without an answer of the store from which on an outage may have made entries lapse. */
-const outageAfterMs = 1000;
+const outageAfterMs = 1500;
+
+/** Share of the entries that only an outage makes vanish between two readings. */
+const lapseShare = 0.5;
 
 /** Keeps the directory of one host. */
 export class TargetDirectory {
     private entries = new Map<TargetId, TargetEntryView>();
     private lastReadAt: Instant | undefined;
     private lenientUntil: Instant | undefined;
+    /** When the first of the failed readings since the last good one began. */
+    private failingSince: Instant | undefined;
     private number = 0;
 
     /** Rises with each change of what may be used. */
@@ -59,19 +64,26 @@
 
     /** Takes a whole reading; returns the targets that came, changed or went. */
     take(read: readonly TargetEntryView[], now: Instant): readonly TargetId[] {
-        if (this.lastReadAt !== undefined && now - this.lastReadAt > outageAfterMs) {
+        const next = new Map(read.map(entry => [entry.target, entry]));
+        const vanished = [...this.entries.keys()].filter(target => !next.has(target)).length;
+        const wasOut = this.failingSince !== undefined && now - this.failingSince > outageAfterMs;
+        if (wasOut || vanished > 1 && vanished > this.entries.size * lapseShare && this.lenientUntil === undefined) {
             this.lenientUntil = after(now, returnGraceMs);
         }
+        if (vanished === 0) {
+            this.lenientUntil = undefined;
+        }
+        this.failingSince = undefined;
         this.lastReadAt = now;
-        const next = new Map(read.map(entry => [entry.target, entry]));
         if (this.lenientUntil !== undefined && now < this.lenientUntil) {
             this.entries.forEach((entry, target) => next.has(target) || next.set(target, entry));
         }
-        const changed = [...new Set([...next.keys(), ...this.entries.keys()])]
-            .filter(target => !isSameUse(next.get(target), this.entries.get(target)));
-        this.entries = next;
-        this.number += changed.length > 0 ? 1 : 0;
-        return changed;
+        return this.put(next);
+    }
+
+    /** Notes that a reading begun at `startedAt` failed. */
+    noteFailure(startedAt: Instant): void {
+        this.failingSince ??= startedAt;
     }
 
     /** Takes a reading that another host made at `readAt`, if it is newer than the own one. */
@@ -79,9 +91,15 @@
         if (this.lastReadAt !== undefined && readAt <= this.lastReadAt) {
             return [];
         }
-        this.lenientUntil = undefined;
-        const changed = this.take(read, readAt);
-        this.lenientUntil = undefined;
+        this.lastReadAt = readAt;
+        return this.put(new Map(read.map(entry => [entry.target, entry])));
+    }
+
+    private put(next: Map<TargetId, TargetEntryView>): readonly TargetId[] {
+        const changed = [...new Set([...next.keys(), ...this.entries.keys()])]
+            .filter(target => !isSameUse(next.get(target), this.entries.get(target)));
+        this.entries = next;
+        this.number += changed.length > 0 ? 1 : 0;
         return changed;
     }
 }
--- a/packages/core/src/lib/jobs/JobBoard.ts
+++ b/packages/core/src/lib/jobs/JobBoard.ts
@@ -16,9 +16,10 @@
     type TaskId,
     type WeightVersion,
 } from "../ids.js";
+import { type WholeText } from "../ports/PeerRequests.js";
 import { type Job, type Task, type TaskResult } from "./Job.js";
 import { type JobLog } from "./JobLog.js";
-import { TaskProgress } from "./TaskProgress.js";
+import { TaskProgress, type TextId } from "./TaskProgress.js";
 
 /** What the route of a job says of its tasks. */
 export interface JobTerms {
@@ -83,8 +84,11 @@
 /** Milliseconds before a task that an engine did not take is offered again. */
 const retryAfterMs = { "not-run": 60, "broken": 20, "failed": 50 } as const;
 
+/** Events by which another host's copy of a text must be longer for a run to be started again from it. */
+const leastInheritedEvents = 8;
+
 /** Most tasks whose text is kept for a later job that brings them again. */
-const mostCarried = 4096;
+const mostCarried = 1500;
 
 /** The jobs that one host runs. */
 export class JobBoard {
@@ -92,6 +96,9 @@
     private readonly carried = new Map<TaskId, TaskProgress>();
     private readonly homes = new Map<GroupId, TargetId>();
 
+    /** `newTextId` gives an id that no other host gives. */
+    constructor(readonly newTextId: () => TextId) {}
+
     get open(): readonly OpenJob[] {
         return [...this.jobs.values()];
     }
@@ -138,12 +145,49 @@
         return [...open.running];
     }
 
-    /** Drops the runs of tasks that have been listed meanwhile; returns those that run, which are to be stopped. */
-    dropListed(open: OpenJob): readonly TaskRun[] {
-        const isListed = (run: TaskRun): boolean => open.log.isListed(run.task.id);
-        const waiting = open.waiting.filter(run => !isListed(run));
+    /** The unfinished tasks with their texts; `open` ones first, then those that may come again. */
+    get texts(): readonly { readonly task: TaskId; readonly progress: TaskProgress; }[] {
+        const runs = this.open.flatMap(open => [...open.waiting, ...open.running]);
+        return [
+            ...runs.map(run => ({ task: run.task.id, progress: run.progress })),
+            ...[...this.carried].map(([task, progress]) => ({ task, progress })),
+        ];
+    }
+
+    /**
+     * Takes another host's copy of a text. A waiting task goes on from it; a task that runs with a shorter text is
+     * returned, to be started again. A text of a task that no open job has is kept for one that brings it.
+     */
+    takeText({ task, text }: WholeText): TaskRun | undefined {
+        const open = this.open.find(({ waiting, running }) =>
+            [...waiting, ...running].some(run => run.task.id === task)
+        );
+        if (open === undefined) {
+            const progress = this.carried.get(task) ?? new TaskProgress(this.newTextId());
+            if (progress.events < text.pieces.length) {
+                progress.replace(text, this.newTextId());
+            }
+            this.carry(task, progress);
+            return undefined;
+        }
+        const waiting = open.waiting.find(run => run.task.id === task);
+        if (waiting !== undefined) {
+            if (waiting.progress.events < text.pieces.length) {
+                waiting.progress.replace(text, this.newTextId());
+            }
+            return undefined;
+        }
+        const running = [...open.running].find(run => run.task.id === task)!;
+        const isWorthIt = text.pieces.length > running.progress.events + leastInheritedEvents;
+        return isWorthIt && text.versions.every(version => version >= open.job.minVersion) ? running : undefined;
+    }
+
+    /** Drops the runs of tasks that have a result meanwhile; returns those that run, which are to be stopped. */
+    dropKnown(open: OpenJob): readonly TaskRun[] {
+        const isKnown = (run: TaskRun): boolean => open.log.knows(run.task.id);
+        const waiting = open.waiting.filter(run => !isKnown(run));
         open.waiting.splice(0, open.waiting.length, ...waiting);
-        const stopped = [...open.running].filter(isListed);
+        const stopped = [...open.running].filter(isKnown);
         stopped.forEach(run => open.running.delete(run));
         return stopped;
     }
@@ -209,7 +253,7 @@
         const version = seat.versionOf(job.model);
         const mixes = terms.singleVersion && run.progress.versions.some(made => made !== version);
         if (mixes || !run.progress.suits(job.minVersion, terms.singleVersion)) {
-            run.progress.reset();
+            run.progress.reset(this.newTextId());
         }
     }
 
@@ -242,7 +286,7 @@
     private takeCarried(task: TaskId, minVersion: WeightVersion, singleVersion: boolean): TaskProgress {
         const known = this.carried.get(task);
         this.carried.delete(task);
-        return known?.suits(minVersion, singleVersion) === true ? known : new TaskProgress();
+        return known?.suits(minVersion, singleVersion) === true ? known : new TaskProgress(this.newTextId());
     }
 }
 
--- a/packages/core/src/lib/jobs/JobLog.ts
+++ b/packages/core/src/lib/jobs/JobLog.ts
@@ -33,6 +33,11 @@
         return this.listedChunks;
     }
 
+    /** Results that are not listed yet. */
+    get unlisted(): readonly TaskResult[] {
+        return [...this.writing?.results ?? [], ...this.pending];
+    }
+
     get hasPending(): boolean {
         return this.pending.length > 0 || this.writing !== undefined;
     }
--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -15,8 +15,10 @@
     type StepId,
     type TaskId,
     type WeightVersion,
+    type ZoneId,
 } from "../ids.js";
-import { type Job, type ResultPage } from "../jobs/Job.js";
+import { type Job, type ResultPage, type TaskResult } from "../jobs/Job.js";
+import { type ProgressSnapshot } from "../jobs/TaskProgress.js";
 import { type GossipMessage } from "../membership/MemberRecord.js";
 import { type SyncMessage } from "../membership/membershipMessages.js";
 import { type ZoneMessage } from "../membership/ZoneDirectory.js";
@@ -138,11 +140,54 @@
     readonly content: { readonly operator: OperatorView; readonly targets: readonly TargetEntryView[]; } | undefined;
 }
 
+/** A result that is not listed yet. */
+export interface UnlistedResult {
+    readonly job: JobId;
+    readonly result: TaskResult;
+}
+
+/** The text of an unfinished task from its event number `from` on, counted from 0. */
+export interface TextPart {
+    readonly task: TaskId;
+    readonly from: number;
+    readonly text: ProgressSnapshot;
+}
+
+/** The whole text of an unfinished task. */
+export interface WholeText {
+    readonly task: TaskId;
+    readonly text: ProgressSnapshot;
+}
+
+/** What is new since the last copy to a standby. */
+export interface StandbyCopy {
+    readonly results: readonly UnlistedResult[];
+    readonly texts: readonly TextPart[];
+}
+
+/** What was kept of a conductor's jobs beside the store. */
+export interface KeptWork {
+    readonly results: readonly UnlistedResult[];
+    readonly texts: readonly WholeText[];
+}
+
+/** What a host that conducted hands to its successor. */
+export interface ConductorHandover extends KeptWork {
+    /** Milliseconds since its last order, if it gave any. */
+    readonly lastOrderAgeMs: number | undefined;
+}
+
 /** Whether a job is kept from now on; "unknown" means that it may be kept. */
 export interface JobAcceptance {
     readonly outcome: "kept" | "not-kept" | "unknown";
 }
 
+/** Results as the conductor lists them. */
+export interface ConductorPage extends ResultPage {
+    /** False when another host may have listed more, because the conductor no longer hears the store. */
+    readonly isSure: boolean;
+}
+
 /** Says that no such job, or no such task of it, exists. */
 export interface JobUnknown {
     readonly unknown: true;
@@ -182,19 +227,28 @@
         readonly answer: Record<string, never>;
     };
     /** What the conductor knows of the platform's documents; waits a moment for something newer than `have`. */
-    "view-pull": { readonly ask: { readonly have: number; }; readonly answer: SharedView; };
+    "view-pull": {
+        readonly ask: { readonly have: number; readonly zone: ZoneId; readonly hasCallers: boolean; };
+        readonly answer: SharedView;
+    };
+    /** Unlisted results and unfinished texts, which outlive the conductor at another host. */
+    "standby-keep": { readonly ask: StandbyCopy; readonly answer: Record<string, never>; };
+    /** What a standby kept, for a new conductor. */
+    "standby-work": { readonly ask: KeptWork; readonly answer: Record<string, never>; };
     /** Which host the asked one takes for the conductor. */
     "conductor-ask": {
         readonly ask: Record<string, never>;
-        readonly answer: { readonly conductor: HostId | undefined; };
+        readonly answer: { readonly conductor: HostId | undefined; readonly zone: ZoneId; };
     };
+    /** Tells the host that conducted before that another one has the claim, and takes over what it has. */
+    "conductor-yield": { readonly ask: { readonly fence: number; }; readonly answer: ConductorHandover; };
     "job-submit": {
         readonly ask: { readonly job: Job; readonly deadlineMs: number; };
         readonly answer: JobAcceptance;
     };
     "job-read": {
         readonly ask: { readonly job: JobId; readonly after: number; readonly waitMs: number; };
-        readonly answer: ResultPage | JobUnknown;
+        readonly answer: ConductorPage;
     };
     "job-body": {
         readonly ask: { readonly job: JobId; readonly task: TaskId; };
--- a/packages/core/src/lib/ports/RolloutTargets.ts
+++ b/packages/core/src/lib/ports/RolloutTargets.ts
@@ -116,6 +116,8 @@
 /** Reads the documents of operators and targets. */
 export interface PlatformDocuments {
     readOperator(): Promise<Either<KeyValueFailure, OperatorView>>;
+    /** Waits up to `waitMs` for a change of what `readOperator` returned last, and returns the whole once more. */
+    awaitOperator(waitMs: number): Promise<Either<KeyValueFailure, OperatorView>>;
     readTargets(): Promise<Either<KeyValueFailure, readonly TargetEntryView[]>>;
     /** Says that a host holds nothing any more. */
     confirmRetired(hostName: string): Promise<Either<KeyValueFailure, void>>;
--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -44,6 +44,8 @@
     readonly claimDelayMs: () => number;
     /** False while the host stops or is to be emptied. */
     readonly mayClaim: () => boolean;
+    /** Takes over what the host before has; returns the age of its last order, or undefined when it does not answer. */
+    readonly takeOver: (predecessor: HostId, fence: number) => Promise<number | undefined>;
 }
 
 /** Milliseconds after which a lookup of the claim is repeated while the conductor is not heard. */
@@ -54,6 +56,8 @@
     readonly events = new Emittery<ConductorEvents>();
     readonly tenure = new Tenure();
     private believed: HostId | undefined;
+    /** The host that conducted last, as far as this one knows. */
+    private predecessor: HostId | undefined;
     private renewing = false;
     private stopped = false;
 
@@ -73,6 +77,11 @@
         return this.tenure.current !== undefined;
     }
 
+    /** True while no other host can have the claim. */
+    get isSure(): boolean {
+        return this.tenure.isValid(this.clock.now());
+    }
+
     /** Looks up who conducts, and claims when nobody does; resolves when it is known or could not be learnt. */
     async lookUp(): Promise<void> {
         const found = await this.store.get(jobKeys.claim, "conductor");
@@ -110,6 +119,16 @@
         }
     }
 
+    /** Takes note that another host has the claim under a later `fence`; returns the age of this host's last order. */
+    yieldTo(fence: number): number | undefined {
+        const claim = this.tenure.current;
+        if (claim !== undefined && claim.fence < fence) {
+            this.lose("A successor holds the claim.");
+        }
+        const { lastOrderAt } = this.tenure;
+        return lastOrderAt === undefined ? undefined : this.clock.now() - lastOrderAt;
+    }
+
     /** Gives the claim to whoever takes it next. */
     async resign(): Promise<void> {
         this.stopped = true;
@@ -164,18 +183,29 @@
     }
 
     private async begin(claim: ConductorClaim, deadline: Instant, before: ClaimRecord | undefined): Promise<void> {
-        const now = this.clock.now();
-        const lastOrderAt = before?.resigned?.lastOrderAt;
+        const claimedAt = this.clock.now();
+        const { orderCalmMs } = this.options.settings;
+        const resignedAt = before?.resigned?.lastOrderAt;
+        const wasOwn = before?.host === this.options.self;
         const calmMs = before?.resigned === undefined
-            ? this.options.settings.claimTtlMs
-            : lastOrderAt === undefined
+            ? wasOwn ? 0 : orderCalmMs
+            : resignedAt === undefined
             ? 0
-            : Math.max(0, lastOrderAt + this.options.settings.claimTtlMs - Date.now());
-        this.tenure.begin(claim, deadline, after(now, calmMs));
+            : Math.max(0, resignedAt + orderCalmMs - Date.now());
+        this.tenure.begin(claim, deadline, after(claimedAt, calmMs));
         this.journal.note("conductor-claimed", { fence: claim.fence, ordersInMs: calmMs });
-        this.believe(this.options.self);
+        const predecessor = before?.host ?? this.believed ?? this.predecessor;
         void this.renew();
-        await this.events.emit("claimed");
+        if (predecessor !== undefined && predecessor !== this.options.self) {
+            const lastOrderAgeMs = await this.options.takeOver(predecessor, claim.fence);
+            if (lastOrderAgeMs !== undefined && this.tenure.current === claim) {
+                this.tenure.setOrdersFrom(after(this.clock.now(), Math.max(0, orderCalmMs - lastOrderAgeMs)));
+            }
+        }
+        if (this.tenure.current === claim) {
+            this.believe(this.options.self);
+            await this.events.emit("claimed");
+        }
     }
 
     private async renew(): Promise<void> {
@@ -218,6 +248,7 @@
 
     private believe(host: HostId | undefined): void {
         if (host !== this.believed) {
+            this.predecessor = this.believed ?? this.predecessor;
             this.believed = host;
             this.journal.note("conductor-changed", { conductor: host ?? "none" });
             void this.events.emit("conductor", host);
--- a/packages/rollout/src/lib/JobBook.ts
+++ b/packages/rollout/src/lib/JobBook.ts
@@ -6,6 +6,7 @@
 import {
     after,
     type Clock,
+    type GroupId,
     type Instant,
     type Job,
     type JobBoard,
@@ -52,6 +53,9 @@
 /** Milliseconds between tries to write results that the store did not take. */
 const rewriteMs = 150;
 
+/** Milliseconds before a job is due from which on results are written at once. */
+const dueSoonMs = 1500;
+
 /** Milliseconds for which an ended job's results stay in memory. */
 const rememberMs = 20_000;
 
@@ -62,8 +66,11 @@
 export class JobBook {
     readonly events = new Emittery<JobBookEvents>();
     private readonly flushing = new Set<JobId>();
+    private readonly gathering = new Map<JobId, AbortController>();
     private readonly ended = new Map<JobId, KeptLog>();
     private readonly opening = new Set<JobId>();
+    /** Results of a host that conducted before, for jobs that are not open here yet. */
+    private readonly inherited = new Map<JobId, TaskResult[]>();
     /** Stored jobs that no known route fits yet. */
     private readonly unplaced = new Map<JobId, Job>();
     private isActive = false;
@@ -88,6 +95,23 @@
         this.board.open.forEach(open => void this.events.emit("stopped", this.board.remove(open.job.id)));
         this.ended.clear();
         this.unplaced.clear();
+        this.inherited.clear();
+    }
+
+    /** Results that are not listed yet, for a successor. */
+    get unlisted(): readonly { readonly job: JobId; readonly result: TaskResult; }[] {
+        return this.board.open.flatMap(({ job, log }) => log.unlisted.map(result => ({ job: job.id, result })));
+    }
+
+    /** Takes a result of the host that conducted before, now or once its job is open here. */
+    inherit(job: JobId, result: TaskResult): void {
+        const open = this.board.get(job);
+        if (open !== undefined) {
+            this.addResult(open, result);
+            void this.events.emit("stopped", this.board.dropKnown(open));
+            return;
+        }
+        this.inherited.set(job, [...this.inherited.get(job) ?? [], result]);
     }
 
     /** Opens a job that the store holds; `isNew` spares the reading of its results. */
@@ -107,7 +131,10 @@
             if (!this.isActive || this.ended.has(job.id)) {
                 return;
             }
+            (this.inherited.get(job.id) ?? []).forEach(result => log.add(result));
+            this.inherited.delete(job.id);
             const open = this.board.add(job, terms, log);
+            void this.flush(open);
             this.journal.note("job-opened", {
                 job: job.id,
                 step: job.step,
@@ -142,6 +169,19 @@
         return this.ended.has(job);
     }
 
+    /** Reads an ended job that is no longer in memory; false when the store cannot tell. */
+    async recall(id: JobId): Promise<boolean> {
+        const stored = (await this.jobs.find(id)).toMaybe().extract();
+        const chunks = stored?.kind === "ended" ? (await this.jobs.results(id)).toMaybe().extract() : undefined;
+        if (stored?.kind !== "ended" || chunks === undefined || !this.isActive) {
+            return false;
+        }
+        const log = new JobLog();
+        chunks.forEach(chunk => log.adopt(chunk));
+        this.ended.set(id, { log, total: stored.ended.total, endedAt: this.clock.now() });
+        return true;
+    }
+
     knows(job: JobId): boolean {
         return this.board.get(job) !== undefined || this.ended.has(job);
     }
@@ -216,12 +256,13 @@
     private async flush(open: OpenJob): Promise<void> {
         const { job, log } = open;
         if (this.flushing.has(job.id)) {
+            this.hurry(open);
             return;
         }
         this.flushing.add(job.id);
         try {
-            await sleepUntil(this.clock, after(this.clock.now(), this.gatherMs(open)));
             while (this.isActive && this.board.get(job.id) === open && log.hasPending) {
+                await this.gather(open);
                 if (!await this.writeNext(open)) {
                     await sleepUntil(this.clock, after(this.clock.now(), rewriteMs));
                 }
@@ -232,6 +273,23 @@
         }
     }
 
+    /** Waits for more results to write with those at hand, unless the trainer has all that it waits for. */
+    private async gather(open: OpenJob): Promise<void> {
+        const hurry = new AbortController();
+        this.gathering.set(open.job.id, hurry);
+        this.hurry(open);
+        await sleepUntil(this.clock, after(this.clock.now(), this.options.settings.gatherMs), hurry.signal);
+        this.gathering.delete(open.job.id);
+    }
+
+    private hurry(open: OpenJob): void {
+        const isLast = open.waiting.length + open.running.size === 0;
+        const isDue = Date.now() > open.terms.dueAt - dueSoonMs;
+        if (isLast || isDue || hasWhatIsAwaited(open)) {
+            this.gathering.get(open.job.id)?.abort();
+        }
+    }
+
     private async writeNext(open: OpenJob): Promise<boolean> {
         const { job, log } = open;
         const fence = this.options.fence();
@@ -269,16 +327,11 @@
         });
     }
 
-    /** Milliseconds to gather results: none once nothing else of the job is under way. */
-    private gatherMs({ waiting, running }: OpenJob): number {
-        return waiting.length + running.size === 0 ? 0 : this.options.settings.gatherMs;
-    }
-
     /** Takes results that another host listed while this one did not hold the claim. */
     private async refresh(open: OpenJob): Promise<void> {
         const log = await this.readLog(open.job.id);
         log.chunks.forEach(chunk => open.log.adopt(chunk));
-        void this.events.emit("stopped", this.board.dropListed(open));
+        void this.events.emit("stopped", this.board.dropKnown(open));
         void this.flush(open);
         void this.events.emit("listed", open.job.id);
     }
@@ -296,3 +349,12 @@
         return log;
     }
 }
+
+/** Whether every group that the trainer waits for has all its results, with those that are not listed yet. */
+function hasWhatIsAwaited({ job, log }: OpenJob): boolean {
+    const left = new Map<GroupId, number>();
+    for (const task of job.tasks) {
+        left.set(task.group, (left.get(task.group) ?? 0) + (log.knows(task.id) ? 0 : 1));
+    }
+    return [...left.values()].filter(count => count === 0).length >= job.targetGroups;
+}
--- a/packages/rollout/src/lib/JobDesk.ts
+++ b/packages/rollout/src/lib/JobDesk.ts
@@ -7,6 +7,7 @@
 import {
     after,
     type Clock,
+    type ConductorPage,
     type HostId,
     type Instant,
     type Job,
@@ -36,6 +37,8 @@
     readonly self: HostId;
     /** Bytes of a page of results. */
     readonly pageBytes: number;
+    /** True while callers are better served by another host. */
+    readonly isCutOff: () => boolean;
 }
 
 /** Milliseconds that the conductor has for an answer beyond what it may wait. */
@@ -64,7 +67,7 @@
         private readonly journal: Journal,
     ) {
         peers.handle("job-submit", async ({ job, deadlineMs }) =>
-            this.conductor.isConductor
+            this.conductor.isSure
                 ? Right(await this.keep(job, after(this.clock.now(), deadlineMs)))
                 : Left(notConductor));
         peers.handle("job-read", ask => this.readHere(ask.job, ask.after, ask.waitMs));
@@ -92,7 +95,13 @@
         const res = this.conductor.isConductor
             ? await this.readHere(job, position, waitMs)
             : await this.askConductor("job-read", { job, after: position, waitMs }, waitMs + peerSlackMs);
-        return res.isRight() ? res : this.readStored(job, position);
+        const page = res.toMaybe().extract();
+        if (page?.isSure === true) {
+            return Right(page);
+        }
+        const stored = await this.readStored(job, position);
+        // What the conductor has listed stays listed, so it is still an answer when the store cannot be asked.
+        return page !== undefined && stored.isLeft() ? Right(page) : stored;
     }
 
     async body(job: JobId, task: TaskId): Promise<Either<Problem, { readonly body: Uint8Array; } | JobUnknown>> {
@@ -117,7 +126,7 @@
     }
 
     private async submitAnywhere(job: Job, until: Instant): Promise<{ acceptance: JobAcceptance; route: string; }> {
-        if (this.conductor.isConductor) {
+        if (this.conductor.isSure) {
             return { acceptance: await this.keep(job, until), route: "self" };
         }
         let mayBeKept = false;
@@ -136,7 +145,7 @@
             }
             mayBeKept = answer?.outcome === "unknown" || res.isLeft() && res.extract().reason === "no-answer";
         }
-        const outcome = await this.jobs.keep(job, until);
+        const outcome = await this.jobs.keep(job, until, this.options.isCutOff);
         const isUnsure = outcome === "not-kept" && mayBeKept;
         return { acceptance: { outcome: isUnsure ? "unknown" : outcome }, route: "store" };
     }
@@ -146,7 +155,7 @@
         if (this.book.knows(job.id)) {
             return { outcome: "kept" };
         }
-        const outcome = await this.jobs.keep(job, until);
+        const outcome = await this.jobs.keep(job, until, () => !this.conductor.isConductor);
         if (outcome === "kept") {
             await this.book.openKept(job);
         }
@@ -157,17 +166,21 @@
         job: JobId,
         position: number,
         waitMs: number,
-    ): Promise<Either<Problem, ResultPage | JobUnknown>> {
+    ): Promise<Either<Problem, ConductorPage>> {
         const deadline = after(this.clock.now(), waitMs);
         for (;;) {
             const known = this.conductor.isConductor ? this.book.logOf(job) : undefined;
             if (known === undefined) {
+                if (this.conductor.isSure && await this.book.recall(job)) {
+                    continue;
+                }
                 return Left(notConductor);
             }
             const { log, total } = known;
             const isWhole = log.listed.length >= total || this.book.hasEnded(job);
-            if (log.listed.length > position || isWhole || this.clock.now() >= deadline) {
-                return Right({ total, results: pageOf(log.listed, position, this.options.pageBytes) });
+            const { isSure } = this.conductor;
+            if (log.listed.length > position || isWhole || !isSure || this.clock.now() >= deadline) {
+                return Right({ total, results: pageOf(log.listed, position, this.options.pageBytes), isSure });
             }
             await this.nextListing(job, deadline);
         }
@@ -176,11 +189,14 @@
     private bodyHere(job: JobId, task: TaskId): Either<Problem, { readonly body: Uint8Array; } | JobUnknown> {
         const open = this.conductor.isConductor ? this.book.board.get(job) : undefined;
         const known = open?.job.tasks.find(({ id }) => id === task);
+        if (known === undefined && this.conductor.isSure && this.book.hasEnded(job)) {
+            return Right(unknownJob);
+        }
         return known === undefined ? Left(notConductor) : Right({ body: known.body });
     }
 
     private async endHere(job: JobId): Promise<Either<Problem, { readonly ended: true; } | JobUnknown>> {
-        const hasEnded = this.conductor.isConductor && await this.book.end(job);
+        const hasEnded = this.conductor.isSure && await this.book.end(job);
         return hasEnded ? Right({ ended: true }) : Left(notConductor);
     }
 
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -7,7 +7,11 @@
     after,
     type Clock,
     type EngineSeat,
+    type Instant,
     type JobBoard,
+    PaceBook,
+    planMoves,
+    type ProgressSnapshot,
     type RolloutEngines,
     type RunEnd,
     type ServiceSpec,
@@ -40,13 +44,34 @@
 /** Milliseconds between looks for tasks whose time is over. */
 const expireEveryMs = 500;
 
+/** Events from which on a run counts as long: most samples have ended by then, and the step waits for the others. */
+const longEvents = 15;
+
+/** Milliseconds between looks for runs that should go on elsewhere. */
+const moveEveryMs = 150;
+
+/** A run at an engine. */
+interface RunningTask {
+    readonly target: TargetId;
+    readonly stop: AbortController;
+    readonly startedAt: Instant;
+    heardAt: Instant;
+    hasEvents: boolean;
+    /** Set when it is stopped here to go on elsewhere. */
+    moved: string | undefined;
+    /** A longer copy of its text, from which it goes on. */
+    inherited: ProgressSnapshot | undefined;
+}
+
 /** Runs tasks. */
 export class JobRunner {
     private readonly running = new Map<TargetId, number>();
-    private readonly stops = new Map<TaskRun, AbortController>();
+    private readonly stops = new Map<TaskRun, RunningTask>();
+    private readonly paces = new PaceBook();
     private readonly rests = new EngineRests();
     private cancelWake: (() => void) | undefined;
     private cancelExpiry: (() => void) | undefined;
+    private cancelMoves: (() => void) | undefined;
     private isActive = false;
 
     constructor(
@@ -79,14 +104,39 @@
         if (!this.isActive) {
             this.isActive = true;
             this.expire();
+            this.moveRuns();
         }
         this.pump();
     }
 
+    /** Starts a run again from a longer copy of its text, which is put in place once the run has stopped. */
+    restartFrom(run: TaskRun, text: ProgressSnapshot): void {
+        const running = this.stops.get(run);
+        if (running !== undefined && running.moved === undefined) {
+            running.moved = "inherited";
+            running.inherited = text;
+            running.stop.abort();
+        }
+    }
+
+    /** Moves the long runs of an engine that is about to pause to others, as far as these have room. */
+    vacate(target: TargetId): void {
+        let room = this.seats().filter(seat => seat.target !== target)
+            .reduce((sum, seat) => sum + Math.max(0, seat.slots - seat.running), 0);
+        for (const [run, running] of this.stops) {
+            const isLong = run.progress.events >= longEvents;
+            if (running.target === target && isLong && running.moved === undefined && room-- > 0) {
+                running.moved = "changing";
+                running.stop.abort();
+            }
+        }
+    }
+
     deactivate(): void {
         this.isActive = false;
         this.cancelWake?.();
         this.cancelExpiry?.();
+        this.cancelMoves?.();
         [...this.stops.keys()].forEach(run => this.stop(run));
     }
 
@@ -119,7 +169,7 @@
                 slots: seatsOf(entry, spec),
                 running: this.runningAt(entry.target),
                 versionOf: model => this.versions.versionOf(entry, model, now),
-                speed: 1,
+                speed: this.paces.speedOf(entry.target, now),
             }];
         });
     }
@@ -128,10 +178,19 @@
         const entry = this.view.directory.get(target)!;
         const spec = this.view.routes!.service(entry.service)!;
         const stop = new AbortController();
-        this.stops.set(run, stop);
+        const startedAt = this.clock.now();
+        const running: RunningTask = {
+            target,
+            stop,
+            startedAt,
+            heardAt: startedAt,
+            hasEvents: false,
+            moved: undefined,
+            inherited: undefined,
+        };
+        this.stops.set(run, running);
         this.running.set(target, this.runningAt(target) + 1);
         const { job } = run.job;
-        const startedAt = this.clock.now();
         const resumedAfter = run.progress.lastEventId;
         this.journal.note("task-started", {
             job: job.id,
@@ -146,6 +205,7 @@
             entry,
             { task: run.task, host: job.host, afterEvent: resumedAfter, maxConnections: seatsOf(entry, spec) },
             (event, version) => {
+                this.noteEvent(running);
                 if (!run.progress.versions.includes(version)) {
                     this.versions.noteServed(entry, job.model, version);
                 }
@@ -161,22 +221,77 @@
             job: job.id,
             task: run.task.id,
             target,
-            end: isTooOld ? "too-old" : end.kind,
+            end: isTooOld ? "too-old" : running.moved ?? end.kind,
             detail: "detail" in end ? end.detail : "status" in end ? String(end.status) : undefined,
             events: run.progress.events,
             ms: this.clock.now() - startedAt,
         });
-        if (stop.signal.aborted) {
+        if (running.moved !== undefined && end.kind !== "completed") {
+            if (running.inherited !== undefined) {
+                run.progress.replace(running.inherited, this.board.newTextId());
+            }
+            this.board.end(run, "broken", this.clock.now());
+            this.pump();
+            return;
+        }
+        if (stop.signal.aborted && running.moved === undefined) {
             this.pump();
             return;
         }
         this.settle(run, entry, end, isTooOld);
     }
 
+    private noteEvent(running: RunningTask): void {
+        const now = this.clock.now();
+        if (running.hasEvents) {
+            this.paces.note(running.target, now - running.heardAt, now);
+        }
+        running.hasEvents = true;
+        running.heardAt = now;
+    }
+
+    /** Takes runs up elsewhere that fell silent or lag behind what other engines with room could do. */
+    private moveRuns(): void {
+        if (!this.isActive) {
+            return;
+        }
+        const now = this.clock.now();
+        const seats = this.seats();
+        const rooms = seats.map(({ target, slots, running, speed }) => ({ target, speed, free: slots - running }));
+        const runs = [...this.stops].flatMap(([run, running]) =>
+            running.moved === undefined && !running.stop.signal.aborted ? [{ run, ...running }] : []
+        );
+        const changing = new Set(
+            runs.map(({ target }) => target).filter(target => this.versions.isChanging(target, now)),
+        );
+        const { silentMs, silentAtStartMs } = this.settings;
+        const speedOf = (target: TargetId): number => this.paces.speedOf(target, now);
+        for (
+            const { run, target, reason } of planMoves(
+                runs,
+                rooms,
+                speedOf,
+                changing,
+                { silentMs, silentAtStartMs },
+                now,
+            )
+        ) {
+            const running = this.stops.get(run)!;
+            const entry = this.view.directory.get(target);
+            if (reason === "silent" && entry !== undefined) {
+                const ms = this.rests.noteFault(entry, now);
+                this.journal.note("target-resting", { target, reason: "A run fell silent.", ms });
+            }
+            running.moved = reason;
+            running.stop.abort();
+        }
+        this.cancelMoves = this.clock.callAt(after(now, moveEveryMs), () => this.moveRuns());
+    }
+
     private settle(run: TaskRun, entry: TargetEntryView, end: TaskRunEnd, isTooOld: boolean): void {
         const now = this.clock.now();
         if (isTooOld && run.job.terms.singleVersion) {
-            run.progress.reset();
+            run.progress.reset(this.board.newTextId());
         }
         if (end.kind === "completed") {
             this.rests.noteServed(entry.target);
@@ -196,13 +311,14 @@
     }
 
     private stop(run: TaskRun): void {
-        this.stops.get(run)?.abort();
+        this.stops.get(run)?.stop.abort();
     }
 
     private expire(): void {
         if (!this.isActive) {
             return;
         }
+        this.book.forgetOld();
         // Submission times come from other hosts, so they are compared with the wall clock.
         const wallNow = Date.now() as ReturnType<Clock["now"]>;
         this.board.expire(wallNow).forEach(({ open, result }) => this.book.addResult(open, result));
--- a/packages/rollout/src/lib/JobStore.ts
+++ b/packages/rollout/src/lib/JobStore.ts
@@ -53,8 +53,8 @@
 export class JobStore {
     constructor(private readonly store: TransactionalStore, private readonly clock: Clock) {}
 
-    /** Stores a job, trying until `deadline`. */
-    async keep(job: Job, deadline: Instant, signal?: AbortSignal): Promise<KeepOutcome> {
+    /** Stores a job, trying until `deadline` or until another host is the better choice. */
+    async keep(job: Job, deadline: Instant, isHopeless: () => boolean): Promise<KeepOutcome> {
         const puts = documentsOf(job);
         let mayBeKept = false;
         for (;;) {
@@ -79,10 +79,10 @@
             if (settled !== undefined) {
                 return settled;
             }
-            if (this.clock.now() + retryMs >= deadline || signal?.aborted === true) {
+            if (this.clock.now() + retryMs >= deadline || isHopeless()) {
                 return mayBeKept ? "unknown" : "not-kept";
             }
-            await sleepUntil(this.clock, (this.clock.now() + retryMs) as Instant, signal);
+            await sleepUntil(this.clock, (this.clock.now() + retryMs) as Instant);
         }
     }
 
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -1,19 +1,24 @@
 /** Composes the tasks of one host from its ports, and starts and stops them together. */
 
 import {
+    after,
     type CallTargets,
     type Clock,
+    type ConductorHandover,
     type HostId,
     type Instant,
     type Job,
     JobBoard,
     type JobTerms,
+    type KeptWork,
     type PeerNetwork,
     type PlatformDocuments,
     type RolloutEngines,
+    sleepUntil,
     type TransactionalStore,
     type ZoneId,
 } from "@tamarackpath/core";
+import { Right } from "purify-ts";
 import { CallForwarder } from "./CallForwarder.js";
 import { ConductorTask } from "./ConductorTask.js";
 import { HostView } from "./HostView.js";
@@ -24,6 +29,7 @@
 import { type Journal } from "./Journal.js";
 import { LiveWatch } from "./LiveWatch.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
+import { StandbyTask } from "./StandbyTask.js";
 import { VersionTask } from "./VersionTask.js";
 import { ViewTask } from "./ViewTask.js";
 
@@ -57,6 +63,12 @@
 /** Milliseconds that a host lets others claim first: hosts with callers let those without go first. */
 const claimDelayMs = { withCallers: 700, without: 60, spread: 250 } as const;
 
+/** Milliseconds that the host that conducted before has to hand over what it has. */
+const takeOverMs = 500;
+
+/** Milliseconds for which a host that resigned goes on running its tasks, until a successor takes them. */
+const handoverMs = 1500;
+
 /** One host's tasks. */
 export class RolloutHost {
     readonly view: HostView;
@@ -64,10 +76,11 @@
     readonly forwarder: CallForwarder;
     readonly conductor: ConductorTask;
     private readonly viewTask: ViewTask;
-    private readonly board = new JobBoard();
+    private readonly board: JobBoard;
     private readonly book: JobBook;
     private readonly runner: JobRunner;
     private readonly versions: VersionTask;
+    private readonly standby: StandbyTask;
     private readonly watch: LiveWatch;
     private isStopping = false;
 
@@ -85,6 +98,7 @@
                 self,
                 settings,
                 claimDelayMs: () => delay + claimDelayMs.spread * random(),
+                takeOver: (predecessor, fence) => this.takeOver(predecessor, fence),
                 mayClaim: () => !this.isStopping && !this.view.retiring.includes(identity.name),
             },
             store,
@@ -92,6 +106,7 @@
             journal,
         );
         const jobs = new JobStore(store, clock);
+        this.board = new JobBoard(() => Math.floor(random() * Number.MAX_SAFE_INTEGER));
         this.book = new JobBook(
             {
                 settings,
@@ -117,8 +132,36 @@
             journal,
         );
         this.watch = new LiveWatch(store, jobs, this.book, this.conductor, clock);
-        this.viewTask = new ViewTask({ settings, seeds }, this.view, this.conductor, documents, peers, clock);
-        this.desk = new JobDesk({ self, pageBytes }, this.conductor, this.book, jobs, peers, clock, journal);
+        this.standby = new StandbyTask(
+            {
+                zone,
+                followers: () => this.viewTask.followers,
+                adopt: work => this.adopt(work),
+                isConductor: () => this.conductor.isConductor,
+            },
+            this.board,
+            this.book,
+            peers,
+            clock,
+            journal,
+        );
+        this.viewTask = new ViewTask(
+            { settings, seeds, zone, hasCallers },
+            this.view,
+            this.conductor,
+            documents,
+            peers,
+            clock,
+        );
+        this.desk = new JobDesk(
+            { self, pageBytes, isCutOff: () => this.isCutOff },
+            this.conductor,
+            this.book,
+            jobs,
+            peers,
+            clock,
+            journal,
+        );
         this.forwarder = new CallForwarder(settings, zone, this.view, targets, random, clock, journal);
         this.conductor.events.on("claimed", () => this.begin());
         // A claim that lapsed may be taken again, so the jobs go on until another host is known to have it.
@@ -126,6 +169,7 @@
         this.conductor.events.on("conductor", host => {
             if (host !== undefined && host !== identity.self) {
                 this.end();
+                void this.standby.passOn(host);
             }
         });
         this.view.events.on("changed", () => {
@@ -135,14 +179,24 @@
         });
     }
 
+    /** True while this host reaches neither the store nor any host of another zone. */
+    get isCutOff(): boolean {
+        return !this.ports.store.isReachable && !this.conductor.isConductor && this.viewTask.isCutOff;
+    }
+
     start(): void {
+        this.ports.peers.handle("conductor-yield", async ({ fence }) => Right(this.yieldTo(fence)));
         this.viewTask.start();
     }
 
     /** Gives the conductor's duties away; what is under way here goes on. */
     async resign(): Promise<void> {
         this.isStopping = true;
+        const conducted = this.conductor.isConductor;
         await this.conductor.resign();
+        if (conducted) {
+            await sleepUntil(this.ports.clock, after(this.ports.clock.now(), handoverMs));
+        }
         this.end();
     }
 
@@ -174,15 +228,59 @@
         };
     }
 
+    /** Takes the unlisted results and unfinished texts of the host that conducted before. */
+    private async takeOver(predecessor: HostId, fence: number): Promise<number | undefined> {
+        const { peers, clock, journal } = this.ports;
+        peers.setAddress(predecessor, predecessor);
+        const res = await peers.ask(predecessor, "conductor-yield", { fence }, after(clock.now(), takeOverMs));
+        const handover = res.toMaybe().chain(answer => answer.toMaybe()).extract();
+        if (handover !== undefined) {
+            this.adopt(handover);
+        }
+        journal.note("handover-taken", {
+            from: predecessor,
+            answered: handover !== undefined,
+            results: handover?.results.length,
+            texts: handover?.texts.length,
+            lastOrderAgeMs: handover?.lastOrderAgeMs,
+        });
+        return handover === undefined ? undefined : handover.lastOrderAgeMs ?? Infinity;
+    }
+
+    /** Hands over what this host has as conductor, and stops running jobs. */
+    private yieldTo(fence: number): ConductorHandover {
+        const lastOrderAgeMs = this.conductor.yieldTo(fence);
+        const texts = this.board.texts.flatMap(({ task, progress }) => {
+            const text = progress.snapshot(0);
+            return text === undefined ? [] : [{ task, text }];
+        });
+        const handover = { lastOrderAgeMs, results: this.book.unlisted, texts };
+        this.end();
+        return handover;
+    }
+
+    /** Takes what another host kept of the jobs. */
+    private adopt({ results, texts }: KeptWork): void {
+        results.forEach(({ job, result }) => this.book.inherit(job, result));
+        for (const whole of texts) {
+            const run = this.board.takeText(whole);
+            if (run !== undefined) {
+                this.runner.restartFrom(run, whole.text);
+            }
+        }
+    }
+
     private begin(): void {
         this.book.activate();
         this.versions.activate(this.runner);
         this.runner.activate();
+        this.standby.activate();
         this.watch.activate();
     }
 
     private end(): void {
         this.watch.deactivate();
+        this.standby.deactivate();
         this.runner.deactivate();
         this.versions.deactivate();
         this.book.deactivate();
--- a/packages/rollout/src/lib/RolloutSettings.ts
+++ b/packages/rollout/src/lib/RolloutSettings.ts
@@ -5,14 +5,23 @@
     /** Lifetime of the conductor's claim without renewal; the longest gap after which another host takes over. */
     readonly claimTtlMs: number;
     readonly claimRenewMs: number;
-    /** Time between readings of the operators' and the targets' documents. */
+    /**
+     * Time after a claim that was not handed over before the first order: what the platform counts as taking turns,
+     * less the time before the lease's end at which the holder before stopped to order.
+     */
+    readonly orderCalmMs: number;
+    /** Time between readings of the targets' documents. */
     readonly pollMs: number;
     /** Age of the conductor's news from which on a host reads the documents itself. */
     readonly staleViewMs: number;
-    /** Time for which finished results are gathered into one write. */
+    /** Time for which finished results are gathered into one write while the trainer still waits for others. */
     readonly gatherMs: number;
     /** Time without an event after which a run is taken up elsewhere. */
     readonly stallMs: number;
+    /** Time without an event after which a run is moved to another engine with room. */
+    readonly silentMs: number;
+    /** The same before a run's first event. */
+    readonly silentAtStartMs: number;
     /** Share of a model's engines that may change weights at once. */
     readonly changingShare: number;
     /** Time that a change of weights takes. */
@@ -25,12 +34,15 @@
 
 /** The defaults. */
 export const defaultRolloutSettings: RolloutSettings = {
-    claimTtlMs: 3000,
-    claimRenewMs: 800,
-    pollMs: 600,
-    staleViewMs: 1300,
-    gatherMs: 150,
+    claimTtlMs: 2200,
+    claimRenewMs: 500,
+    orderCalmMs: 2500,
+    pollMs: 900,
+    staleViewMs: 1600,
+    gatherMs: 700,
     stallMs: 2500,
+    silentMs: 600,
+    silentAtStartMs: 900,
     changingShare: 0.25,
     changeMs: 950,
     hedgeShare: 0.45,
--- /dev/null
+++ b/packages/rollout/src/lib/StandbyTask.ts
@@ -0,0 +1,177 @@
+/**
+ * Keeps copies of what only the conductor has: results that are not listed yet and the texts of long unfinished samples.
+ * The conductor sends what is new to two hosts in other zones, and each of them passes all of it on to a new conductor,
+ * so that losing the conductor costs a moment and not the samples that a step waits for. The copies settle nothing: they
+ * only spare work, and a copy that is lost is made again.
+ */
+
+import {
+    after,
+    type Clock,
+    type HostId,
+    type JobBoard,
+    type KeptWork,
+    type PeerNetwork,
+    type ProgressSnapshot,
+    type StandbyCopy,
+    type TaskId,
+    type TextId,
+    type UnlistedResult,
+    type ZoneId,
+} from "@tamarackpath/core";
+import { Right } from "purify-ts";
+import { type JobBook } from "./JobBook.js";
+import { type Journal } from "./Journal.js";
+
+/** A host that pulls the conductor's view. */
+export interface Follower {
+    readonly host: HostId;
+    readonly zone: ZoneId;
+    readonly hasCallers: boolean;
+}
+
+/** What a standby task needs of the host. */
+export interface StandbyOptions {
+    readonly zone: ZoneId;
+    /** Hosts that follow this one lately. */
+    readonly followers: () => readonly Follower[];
+    /** Takes the copies that another host kept, at the conductor. */
+    readonly adopt: (work: KeptWork) => void;
+    readonly isConductor: () => boolean;
+}
+
+/** Milliseconds between copies. */
+const copyEveryMs = 400;
+
+/** Milliseconds that a standby has to take a copy. */
+const copyMs = 800;
+
+/** Events from which on a text is copied, and by which it must have grown for another copy. */
+const copyEvents = 10;
+
+/** Most texts that a standby keeps. */
+const mostKept = 1500;
+
+/** Keeps and sends copies. */
+export class StandbyTask {
+    private readonly keptTexts = new Map<TaskId, ProgressSnapshot>();
+    private keptResults: UnlistedResult[] = [];
+    /** What of each task a standby has. */
+    private readonly sent = new Map<HostId, Map<TaskId, { readonly textId: TextId; readonly events: number; }>>();
+    private cancelCopy: (() => void) | undefined;
+
+    constructor(
+        private readonly options: StandbyOptions,
+        private readonly board: JobBoard,
+        private readonly book: JobBook,
+        private readonly peers: PeerNetwork,
+        private readonly clock: Clock,
+        private readonly journal: Journal,
+    ) {
+        peers.handle("standby-keep", async copy => {
+            this.keep(copy);
+            return Right({});
+        });
+        peers.handle("standby-work", async work => {
+            if (options.isConductor()) {
+                options.adopt(work);
+            }
+            return Right({});
+        });
+    }
+
+    /** Begins to send copies, and takes what this host kept for the conductor before. */
+    activate(): void {
+        this.cancelCopy?.();
+        this.sent.clear();
+        this.options.adopt(this.takeKept());
+        this.copy();
+    }
+
+    deactivate(): void {
+        this.cancelCopy?.();
+        this.cancelCopy = undefined;
+    }
+
+    /** Passes what this host kept on to a new conductor. */
+    async passOn(conductor: HostId): Promise<void> {
+        const kept = this.takeKept();
+        if (kept.results.length + kept.texts.length === 0) {
+            return;
+        }
+        this.peers.setAddress(conductor, conductor);
+        const res = await this.peers.ask(conductor, "standby-work", kept, after(this.clock.now(), copyMs));
+        this.journal.note("standby-passed", {
+            conductor,
+            results: kept.results.length,
+            texts: kept.texts.length,
+            taken: res.isRight(),
+        });
+    }
+
+    private takeKept(): KeptWork {
+        const texts = [...this.keptTexts].map(([task, text]) => ({ task, text }));
+        const results = this.keptResults;
+        this.keptTexts.clear();
+        this.keptResults = [];
+        return { results, texts };
+    }
+
+    private keep({ results, texts }: StandbyCopy): void {
+        this.keptResults = [...this.keptResults, ...results].slice(-mostKept);
+        for (const { task, from, text } of texts) {
+            const known = this.keptTexts.get(task);
+            const start = from === 0 ? [] : known?.textId === text.textId ? known.pieces.slice(0, from) : undefined;
+            if (start?.length === from) {
+                this.keptTexts.delete(task);
+                this.keptTexts.set(task, { ...text, pieces: [...start, ...text.pieces] });
+            }
+        }
+        for (const oldest of this.keptTexts.keys()) {
+            if (this.keptTexts.size <= mostKept) {
+                break;
+            }
+            this.keptTexts.delete(oldest);
+        }
+    }
+
+    private copy(): void {
+        for (const host of this.standbys()) {
+            const sent = this.sent.get(host) ?? new Map<TaskId, { textId: TextId; events: number; }>();
+            this.sent.set(host, sent);
+            const texts = this.board.texts.flatMap(({ task, progress }) => {
+                const known = sent.get(task);
+                const from = known?.textId === progress.textId ? known.events : 0;
+                const text = progress.events - from >= copyEvents ? progress.snapshot(from) : undefined;
+                return text === undefined ? [] : [{ task, from, text }];
+            });
+            const results = this.book.unlisted;
+            if (texts.length + results.length > 0) {
+                texts.forEach(({ task, from, text }) => {
+                    sent.set(task, { textId: text.textId, events: from + text.pieces.length });
+                });
+                void this.send(host, { texts, results });
+            }
+        }
+        this.cancelCopy = this.clock.callAt(after(this.clock.now(), copyEveryMs), () => this.copy());
+    }
+
+    private async send(host: HostId, copy: StandbyCopy): Promise<void> {
+        this.peers.setAddress(host, host);
+        const res = await this.peers.ask(host, "standby-keep", copy, after(this.clock.now(), copyMs));
+        if (res.isLeft()) {
+            this.sent.delete(host);
+        }
+    }
+
+    /** One host with callers and one without, in other zones if there are any. */
+    private standbys(): readonly HostId[] {
+        const followers = this.options.followers();
+        const choose = (hasCallers: boolean): readonly HostId[] => {
+            const fitting = followers.filter(follower => follower.hasCallers === hasCallers);
+            const elsewhere = fitting.filter(({ zone }) => zone !== this.options.zone);
+            return (elsewhere.length > 0 ? elsewhere : fitting).map(({ host }) => host).sort().slice(0, 1);
+        };
+        return [...choose(true), ...choose(false)];
+    }
+}
--- a/packages/rollout/src/lib/VersionTask.ts
+++ b/packages/rollout/src/lib/VersionTask.ts
@@ -22,6 +22,8 @@
 export interface WorkAtEngines {
     runningAt(target: TargetId): number;
     readonly hasWaiting: boolean;
+    /** Moves the tasks of an engine that is about to pause. */
+    vacate(target: TargetId): void;
 }
 
 /** What may change. */
@@ -81,6 +83,11 @@
         this.planOf(model).noteStillChanging(entry.target, until);
     }
 
+    /** Whether an engine pauses its tasks for a change of weights. */
+    isChanging(target: TargetId, now: Instant): boolean {
+        return [...this.plans.values()].some(plan => plan.isPaused(target, now));
+    }
+
     /** When the next changing engine should serve again. */
     nextReadyAt(now: Instant): Instant | undefined {
         const times = [...this.plans.values()].flatMap(plan => plan.readyTimes()).filter(at => at > now);
@@ -112,6 +119,7 @@
             return;
         }
         plan.noteSent(order);
+        this.work?.vacate(order.target);
         this.conductor.tenure.noteOrder(this.clock.now());
         const end = await this.engines.order(entry, order, this.self, claim.fence);
         plan.noteEnd(order, end, this.clock.now());
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -7,34 +7,50 @@
     after,
     type Clock,
     type HostId,
+    type Instant,
     type PeerNetwork,
     type PlatformDocuments,
     sleepUntil,
+    type ZoneId,
 } from "@tamarackpath/core";
 import { Right } from "purify-ts";
 import { type ConductorTask } from "./ConductorTask.js";
 import { type HostView } from "./HostView.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
+import { type Follower } from "./StandbyTask.js";
 
 /** What a view task needs. */
 export interface ViewTaskOptions {
     readonly settings: RolloutSettings;
     /** Hosts that may know the conductor when the store cannot be asked. */
     readonly seeds: readonly HostId[];
+    readonly zone: ZoneId;
+    readonly hasCallers: boolean;
 }
 
+/** Milliseconds after its last pull for which a host counts as a follower. */
+const followerMemoryMs = 3000;
+
 /** Milliseconds that a pull waits at the conductor for a change. */
 const pullWaitMs = 800;
 
 /** Milliseconds beyond the wait within which the conductor must have answered. */
 const pullSlackMs = 600;
 
+/** Milliseconds that a watch of the operators' documents waits: a silent connection must not hide a change for longer. */
+const watchMs = 2000;
+
+/** Milliseconds without an answer from outside the zone after which a host counts as cut off. */
+const cutOffAfterMs = 300;
+
 /** Milliseconds between rounds in which nothing could be learnt. */
-const roundMs = 100;
+const roundMs = 250;
 
 /** Runs the loops of a host's view. */
 export class ViewTask {
     private stopped = false;
+    private unheardSince: Instant | undefined;
+    private readonly pulls = new Map<HostId, Follower & { readonly at: Instant; }>();
     /** The conductor's number of the view taken last, and whose number it is. */
     private taken: { readonly host: HostId; readonly number: number; } | undefined;
 
@@ -46,41 +62,82 @@
         private readonly peers: PeerNetwork,
         private readonly clock: Clock,
     ) {
-        peers.handle("view-pull", async ({ have }) => {
+        peers.handle("view-pull", async ({ have, zone, hasCallers }, from) => {
+            this.pulls.set(from, { host: from, zone, hasCallers, at: clock.now() });
             await this.waitForChange(have);
             const { revision, ageMs, operator } = view;
             const content = revision === have ? undefined : { operator, targets: view.directory.targets };
-            return Right({ number: revision, ageMs: conductor.isConductor ? ageMs : undefined, content });
+            return Right({ number: revision, ageMs: conductor.isSure ? ageMs : undefined, content });
         });
-        peers.handle("conductor-ask", async () => Right({ conductor: conductor.conductor }));
+        peers.handle("conductor-ask", async () => {
+            const { zone } = options;
+            return Right({ conductor: conductor.conductor, zone });
+        });
+    }
+
+    /** Hosts that pulled this one's view lately. */
+    get followers(): readonly Follower[] {
+        const now = this.clock.now();
+        return [...this.pulls.values()].filter(({ at }) => now - at < followerMemoryMs);
+    }
+
+    /**
+     * True while nothing outside this host's zone answers: neither the conductor nor the seeds. Callers are better
+     * served by hosts of other zones then, if the store cannot be reached from here either.
+     */
+    get isCutOff(): boolean {
+        return this.unheardSince !== undefined && this.clock.now() - this.unheardSince > cutOffAfterMs;
     }
 
     start(): void {
         void this.followLoop();
         void this.readLoop();
+        void this.watchLoop();
     }
 
     stop(): void {
         this.stopped = true;
     }
 
-    /** Reads the documents while this host conducts, or while what it has is old. */
+    /** Reads the targets while this host conducts, or while what it has is old; then the operators' documents too. */
     private async readLoop(): Promise<void> {
         const { pollMs, staleViewMs } = this.options.settings;
         while (!this.stopped) {
-            if (this.conductor.isConductor || (this.view.ageMs ?? Infinity) > staleViewMs) {
+            const isStale = (this.view.ageMs ?? Infinity) > staleViewMs;
+            if (this.conductor.isConductor) {
+                await this.readTargets();
+            }
+            else if (isStale) {
                 await Promise.all([this.readOperator(), this.readTargets()]);
             }
             await sleepUntil(this.clock, after(this.clock.now(), pollMs));
         }
     }
 
+    /** Follows the operators' documents while this host conducts. */
+    private async watchLoop(): Promise<void> {
+        while (!this.stopped) {
+            if (!this.conductor.isConductor) {
+                await sleepUntil(this.clock, after(this.clock.now(), roundMs));
+                continue;
+            }
+            const seen = await this.documents.awaitOperator(watchMs);
+            seen.ifRight(read => this.view.takeOperator(read, "store"));
+            if (seen.isLeft()) {
+                await sleepUntil(this.clock, after(this.clock.now(), roundMs));
+            }
+        }
+    }
+
     private async readOperator(): Promise<void> {
         (await this.documents.readOperator()).ifRight(read => this.view.takeOperator(read, "store"));
     }
 
     private async readTargets(): Promise<void> {
-        (await this.documents.readTargets()).ifRight(read => this.view.takeTargets(read, undefined));
+        const startedAt = this.clock.now();
+        const res = await this.documents.readTargets();
+        res.ifRight(read => this.view.takeTargets(read, undefined));
+        res.ifLeft(() => this.view.directory.noteFailure(startedAt));
     }
 
     /** Waits at the conductor for changes, and looks for a conductor when it is not heard. */
@@ -94,9 +151,12 @@
             }
             const heard = host !== undefined && await this.pull(host);
             missed = heard ? 0 : missed + 1;
-            if (!heard) {
-                await this.conductor.lookUp();
-                await this.askSeeds();
+            if (heard) {
+                this.unheardSince = undefined;
+            }
+            else {
+                const [, hasHeardSeed] = await Promise.all([this.conductor.lookUp(), this.askSeeds()]);
+                this.unheardSince = hasHeardSeed ? undefined : this.unheardSince ?? this.clock.now();
                 if (missed > 1) {
                     await sleepUntil(this.clock, after(this.clock.now(), roundMs));
                 }
@@ -106,9 +166,10 @@
 
     private async pull(host: HostId): Promise<boolean> {
         this.peers.setAddress(host, host);
+        const { zone, hasCallers } = this.options;
         const have = this.taken?.host === host ? this.taken.number : -1;
         const deadline = after(this.clock.now(), pullWaitMs + pullSlackMs);
-        const res = await this.peers.ask(host, "view-pull", { have }, deadline);
+        const res = await this.peers.ask(host, "view-pull", { have, zone, hasCallers }, deadline);
         const shared = res.toMaybe().chain(answer => answer.toMaybe()).extract();
         if (shared?.ageMs === undefined) {
             return false;
@@ -124,15 +185,16 @@
         return true;
     }
 
-    private async askSeeds(): Promise<void> {
-        for (const seed of this.options.seeds) {
-            if (this.conductor.conductor !== undefined || this.conductor.isConductor) {
-                return;
-            }
+    /** Asks the seeds for the conductor; true when one of another zone answered. */
+    private async askSeeds(): Promise<boolean> {
+        const answers = await Promise.all(this.options.seeds.map(async seed => {
             this.peers.setAddress(seed, seed);
             const res = await this.peers.ask(seed, "conductor-ask", {}, after(this.clock.now(), pullSlackMs));
-            this.conductor.takeWord(res.toMaybe().chain(answer => answer.toMaybe()).extract()?.conductor);
-        }
+            return res.toMaybe().chain(answer => answer.toMaybe()).extract();
+        }));
+        const heard = answers.filter(answer => answer !== undefined);
+        this.conductor.takeWord(heard.find(({ conductor }) => conductor !== undefined)?.conductor);
+        return heard.some(({ zone }) => zone !== this.options.zone);
     }
 
     private waitForChange(have: number): Promise<void> {
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -21,6 +21,8 @@
     "conductor-claimed": "This host is the conductor.",
     "conductor-lost": "This host is no longer the conductor.",
     "conductor-resigned": "This host gave the conductor's duties away.",
+    "handover-taken": "A new conductor asked the one before for its results and texts.",
+    "standby-passed": "This host passed its copies of results and texts to a new conductor.",
     "version-ordered": "An engine was ordered to change its weights, and how that ended.",
     "order-refused": "An engine refused an order, with its reason.",
     "engine-report": "An engine's own report was read.",
