--- /dev/null
+++ b/packages/core/src/lib/directory/TargetDirectory.test.ts
@@ -0,0 +1,70 @@
+/** Tests of what a reading of the targets' entries means after an outage and without one. */
+
+import { expect } from "chai";
+import { asId, type Incarnation, type Instant, type ServiceId, type TargetId, type ZoneId } from "../ids.js";
+import { returnGraceMs, TargetDirectory, type TargetEntryView } from "./TargetDirectory.js";
+
+const pollMs = 905;
+
+function entryFixture(nth: number, changes: Partial<TargetEntryView> = {}): TargetEntryView {
+    return {
+        target: asId<TargetId>(`t${nth}`),
+        service: asId<ServiceId>("desk"),
+        address: `10.0.0.${nth}:8080`,
+        zone: asId<ZoneId>("z"),
+        slots: 6,
+        leaving: false,
+        incarnation: 1 as Incarnation,
+        models: [],
+        ...changes,
+    };
+}
+
+function directoryFixture(count: number): TargetDirectory {
+    const directory = new TargetDirectory();
+    directory.take(Array.from({ length: count }, (unused, nth) => entryFixture(nth)), 0 as Instant);
+    return directory;
+}
+
+describe("TargetDirectory", () => {
+    it("drops a vanished target at once when no reading failed, however far readings lie apart", () => {
+        const directory = directoryFixture(4);
+        const rest = [entryFixture(0), entryFixture(1), entryFixture(2)];
+        expect(directory.take(rest, pollMs as Instant)).to.deep.equal(["t3"]);
+        expect(directory.get(asId<TargetId>("t3"))).to.equal(undefined);
+    });
+
+    it("keeps targets for the grace after an outage, and takes those that are still missing then for gone", () => {
+        const directory = directoryFixture(4);
+        directory.noteFailure(1000 as Instant);
+        directory.noteFailure(2000 as Instant);
+        directory.take([entryFixture(0)], 5000 as Instant);
+        expect(directory.targets).to.have.length(4);
+        directory.take([entryFixture(0), entryFixture(1)], (5000 + returnGraceMs + 1) as Instant);
+        expect(directory.targets.map(({ target }) => target)).to.deep.equal(["t0", "t1"]);
+    });
+
+    it("takes the loss of most entries at once for a lapse, also when this host saw no outage", () => {
+        const directory = directoryFixture(6);
+        directory.take([entryFixture(0)], pollMs as Instant);
+        expect(directory.targets).to.have.length(6);
+        directory.take([entryFixture(0)], (pollMs + returnGraceMs + 1) as Instant);
+        expect(directory.targets).to.have.length(1);
+    });
+
+    it("does not take a single failed reading for an outage", () => {
+        const directory = directoryFixture(4);
+        directory.noteFailure(500 as Instant);
+        directory.take([entryFixture(0), entryFixture(1), entryFixture(2)], 1000 as Instant);
+        expect(directory.targets).to.have.length(3);
+    });
+
+    it("adopts only readings that are newer than its own", () => {
+        const directory = directoryFixture(2);
+        directory.take([entryFixture(0)], 1000 as Instant);
+        directory.adopt([entryFixture(0), entryFixture(1)], 900 as Instant);
+        expect(directory.targets).to.have.length(1);
+        directory.adopt([entryFixture(0, { leaving: true })], 1100 as Instant);
+        expect(directory.get(asId<TargetId>("t0"))?.leaving).to.equal(true);
+    });
+});
--- /dev/null
+++ b/packages/core/src/lib/jobs/jobFixtures.test.ts
@@ -0,0 +1,71 @@
+/** Builders of jobs, terms and seats for the tests of this folder. */
+
+import {
+    asId,
+    type GroupId,
+    type Instant,
+    type JobId,
+    type ServiceId,
+    type TargetId,
+    type TaskId,
+    type WeightVersion,
+} from "../ids.js";
+import { type Job, type Task } from "./Job.js";
+import { type EngineSeat, JobBoard, type JobTerms } from "./JobBoard.js";
+
+export function boardFixture(): JobBoard {
+    let serial = 0;
+    return new JobBoard(() => ++serial);
+}
+
+export function taskFixture(nth: number, changes: Partial<Task> = {}): Task {
+    return {
+        id: asId<TaskId>(`task-${nth}`),
+        group: asId<GroupId>(`group-${nth >> 1}`),
+        path: `/p/${nth}`,
+        headers: {},
+        body: new Uint8Array(),
+        tokens: 100,
+        expectedTokens: 50,
+        ...changes,
+    };
+}
+
+export function jobFixture(tasks: readonly Task[], changes: Partial<Job> = {}): Job {
+    return {
+        id: asId<JobId>("job"),
+        host: "h",
+        path: "/p/",
+        submittedAt: 0 as Instant,
+        step: 0,
+        model: "m",
+        minVersion: 1 as WeightVersion,
+        targetGroups: new Set(tasks.map(({ group }) => group)).size,
+        tasks,
+        ...changes,
+    };
+}
+
+export function termsFixture(changes: Partial<JobTerms> = {}): JobTerms {
+    return {
+        service: asId<ServiceId>("s"),
+        maxAttempts: 3,
+        priority: 1,
+        singleVersion: false,
+        expiresAt: 40_000 as Instant,
+        dueAt: 7500 as Instant,
+        ...changes,
+    };
+}
+
+export function seatFixture(name: string, changes: Partial<EngineSeat> = {}): EngineSeat {
+    return {
+        target: asId<TargetId>(name),
+        service: asId<ServiceId>("s"),
+        slots: 4,
+        running: 0,
+        versionOf: () => 1 as WeightVersion,
+        speed: 1,
+        ...changes,
+    };
+}
