--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./lib/calls/CallCourse.js";
 export * from "./lib/calls/RouteTable.js";
 export * from "./lib/calls/TargetChoice.js";
+export { ModelShares } from "./lib/conduct/ModelShares.js";
 export * from "./lib/conduct/Tenure.js";
 export * from "./lib/conduct/VersionPlan.js";
 export * from "./lib/config/ConfigApply.js";
--- a/packages/core/src/lib/conduct/VersionPlan.ts
+++ b/packages/core/src/lib/conduct/VersionPlan.ts
@@ -1,17 +1,18 @@
 /**
- * Decides which engines change to a newly named weight version, and when. A change takes an engine out for about a
- * second, so only a few change at once; engines that nothing waits for go first. An engine too old for the next step
- * changes even while it is busy. Orders carry the number of orders that the engine has accepted, so that an order
- * carried out late cannot undo a newer one, and an order without an answer is only repeated with the same number.
+ * Decides which engines of a service change to a newly named weight version, and when. A change takes an engine out for
+ * about a second, so only a few change at once, the least busy first, and with several models each engine follows one of
+ * them. Orders carry the number of orders that the engine has accepted, so that an order carried out late cannot undo a
+ * newer one, and an order without an answer is only repeated with the same number.
  */
 
 import { after, type Incarnation, type Instant, type TargetId, type WeightVersion } from "../ids.js";
+import { ModelShares, versionsBehind } from "./ModelShares.js";
 
-/** An engine as its entry, its reports and its answers describe it. */
+/** An engine as its entry and its answers describe it. */
 export interface EngineState {
     readonly target: TargetId;
     readonly incarnation: Incarnation;
-    readonly version: WeightVersion;
+    readonly models: readonly { readonly model: string; readonly version: WeightVersion; }[];
     readonly leaving: boolean;
     /** Tasks that this host runs there. */
     readonly running: number;
@@ -23,6 +24,7 @@
     readonly incarnation: Incarnation;
     readonly model: string;
     readonly version: WeightVersion;
+    /** Orders that the engine has accepted so far. */
     readonly expectedOrders: number;
 }
 
@@ -31,21 +33,26 @@
 
 /** Bounds of a plan. */
 export interface VersionPlanLimits {
-    /** Share of a model's engines that may change at once. */
+    /** Share of the engines that may change at once. */
     readonly changingShare: number;
-    /** Milliseconds that a change takes at an engine; until then it is given no work. */
+    /** Milliseconds that a change takes at an engine; until then it is given no work of the model. */
     readonly changeMs: number;
-    /** Versions that an engine may be behind before it changes although it is busy. */
-    readonly allowedLag: number;
 }
 
-interface Track {
-    incarnation: Incarnation;
-    /** Version that an accepted order named; counts once `readyAt` has come. */
-    ordered: WeightVersion | undefined;
+/** A change that an engine accepted. */
+interface Change {
+    readonly model: string;
+    readonly version: WeightVersion;
+    /** When the engine serves it. */
     readyAt: Instant;
-    /** An order is on its way. */
-    sending: boolean;
+}
+
+interface Track {
+    readonly incarnation: Incarnation;
+    /** Changes by model that the engine's entry may not show yet. */
+    readonly changes: Map<string, Change>;
+    /** The order on its way. */
+    sending: VersionOrder | undefined;
     /** Orders that the engine has accepted, as its own answers tell; undefined until its report is read. */
     accepted: number | undefined;
     notBefore: Instant;
@@ -57,59 +64,63 @@
 /** Milliseconds after a change within which an engine's runs may still be paused. */
 const pauseSlackMs = 500;
 
-/** Plans the changes of one model. */
+/** Plans the changes of one service's engines. */
 export class VersionPlan {
     private readonly tracks = new Map<TargetId, Track>();
-    private named: WeightVersion | undefined;
+    private readonly named = new Map<string, WeightVersion>();
+    private readonly shares = new ModelShares();
 
-    constructor(readonly model: string, private readonly limits: VersionPlanLimits) {}
+    constructor(private readonly limits: VersionPlanLimits) {}
 
-    get wanted(): WeightVersion | undefined {
-        return this.named;
+    /** Takes the version that a trainer named; a lower one changes nothing. */
+    name(model: string, version: WeightVersion): void {
+        this.named.set(model, Math.max(version, this.named.get(model) ?? 0) as WeightVersion);
     }
 
-    /** Takes the version that the trainer named; a lower one changes nothing. */
-    name(version: WeightVersion): void {
-        this.named = Math.max(version, this.named ?? 0) as WeightVersion;
+    wanted(model: string): WeightVersion | undefined {
+        return this.named.get(model);
     }
 
-    /** The version that the engine serves at `now`, or undefined while it changes. */
-    versionOf(engine: EngineState, now: Instant): WeightVersion | undefined {
-        const track = this.trackOf(engine);
-        if (track.sending) {
+    /** The version of `model` that the engine serves at `now`, or undefined while it changes. */
+    versionOf(engine: EngineState, model: string, now: Instant): WeightVersion | undefined {
+        const version = listedVersion(engine, model);
+        const { sending, changes } = this.trackOf(engine);
+        const change = changes.get(model);
+        if (version === undefined || sending?.model === model) {
             return undefined;
         }
-        if (track.ordered === undefined || track.ordered <= engine.version) {
-            return engine.version;
+        if (change === undefined || change.version <= version) {
+            return version;
         }
-        return now >= track.readyAt ? track.ordered : undefined;
+        return now >= change.readyAt ? change.version : undefined;
     }
 
-    /** The orders to send at `now`; `needed` is the oldest version that open work allows. */
-    decide(engines: readonly EngineState[], now: Instant, hasWaitingWork: boolean): readonly VersionOrder[] {
-        const { named, model } = this;
-        if (named === undefined) {
-            return [];
-        }
-        const changing = engines.filter(engine => this.isChanging(engine, now)).length;
+    /** The orders to send at `now`. */
+    decide(engines: readonly EngineState[], now: Instant): readonly VersionOrder[] {
+        const staying = engines.filter(({ leaving }) => !leaving);
+        const models = [...this.named.keys()].filter(model =>
+            staying.some(engine => listedVersion(engine, model) !== undefined)
+        ).sort();
+        this.shares.update(
+            models,
+            staying.map(engine => ({
+                target: engine.target,
+                running: engine.running,
+                behind: model => this.behind(engine, model),
+            })),
+        );
+        const changing = engines.filter(engine => this.isPaused(engine.target, now, 0)).length;
         const most = Math.max(1, Math.ceil(engines.length * this.limits.changingShare));
-        const behind = engines.filter(engine => !engine.leaving && this.mayOrder(engine, named, now));
-        const urgent = behind.filter(engine => this.believed(engine) < named - this.limits.allowedLag);
-        const idle = behind.filter(engine => !urgent.includes(engine) && engine.running === 0 && !hasWaitingWork);
-        const byLoad = (a: EngineState, b: EngineState): number => a.running - b.running;
-        return [...urgent.sort(byLoad), ...idle].slice(0, Math.max(0, most - changing)).map(engine => ({
-            target: engine.target,
-            incarnation: engine.incarnation,
-            model,
-            version: named,
-            expectedOrders: this.trackOf(engine).accepted ?? 0,
-        }));
+        return staying.flatMap(engine => this.orderFor(engine, now) ?? [])
+            .sort((a, b) => b.behind - a.behind || a.running - b.running)
+            .slice(0, Math.max(0, most - changing))
+            .map(({ order }) => order);
     }
 
     noteSent(order: VersionOrder): void {
         const track = this.tracks.get(order.target);
         if (track !== undefined) {
-            track.sending = true;
+            track.sending = order;
         }
     }
 
@@ -118,10 +129,10 @@
         if (track === undefined || track.incarnation !== order.incarnation) {
             return;
         }
-        track.sending = false;
+        track.sending = undefined;
         if (end === "accepted" || end === "holds") {
-            track.ordered = order.version;
-            track.readyAt = end === "holds" ? now : after(now, this.limits.changeMs);
+            const readyAt = end === "holds" ? now : after(now, this.limits.changeMs);
+            track.changes.set(order.model, { model: order.model, version: order.version, readyAt });
             track.accepted = order.expectedOrders + (end === "accepted" ? 1 : 0);
             return;
         }
@@ -131,23 +142,28 @@
         track.notBefore = after(now, retryMs);
     }
 
-    /** Engines whose own report is needed before they can be ordered again. */
-    unclear(now: Instant): readonly TargetId[] {
-        return [...this.tracks].filter(([, track]) =>
-            track.accepted === undefined && !track.sending && track.notBefore <= now
-        ).map(([target]) => target);
+    /** Engines that should be ordered but whose own report is needed first. */
+    unclear(engines: readonly EngineState[], now: Instant): readonly TargetId[] {
+        return engines.filter(engine => {
+            const track = this.trackOf(engine);
+            const model = this.shares.modelOf(engine.target);
+            const isBehind = model !== undefined && (this.behind(engine, model) ?? 0) > 0;
+            return isBehind && track.accepted === undefined && track.sending === undefined && track.notBefore <= now;
+        }).map(({ target }) => target);
     }
 
-    /** Takes an engine's own report: its version, the orders that it accepted, and whether one is in progress. */
+    /** Takes an engine's own report: its versions, the orders that it accepted, and whether one is in progress. */
     noteReport(engine: EngineState, accepted: number, isBusy: boolean, now: Instant): void {
         const track = this.trackOf(engine);
         track.accepted = isBusy ? undefined : accepted;
         track.notBefore = after(now, isBusy ? retryMs : 0);
-        if (isBusy) {
-            track.readyAt = after(now, retryMs);
-        }
-        else if (track.ordered !== undefined && engine.version < track.ordered) {
-            track.ordered = undefined;
+        for (const change of [...track.changes.values()]) {
+            if (isBusy) {
+                change.readyAt = Math.max(change.readyAt, after(now, retryMs)) as Instant;
+            }
+            else if ((listedVersion(engine, change.model) ?? 0) < change.version) {
+                track.changes.delete(change.model);
+            }
         }
     }
 
@@ -159,47 +175,63 @@
         }
     }
 
-    /** Whether the engine changes, or changed a moment ago. */
-    isPaused(target: TargetId, now: Instant): boolean {
+    /** Whether the engine changes, or did so within the last `slackMs`. */
+    isPaused(target: TargetId, now: Instant, slackMs = pauseSlackMs): boolean {
         const track = this.tracks.get(target);
-        return track !== undefined && (track.sending || now < track.readyAt + pauseSlackMs);
+        return track !== undefined
+            && (track.sending !== undefined
+                || [...track.changes.values()].some(({ readyAt }) => now < readyAt + slackMs));
     }
 
     /** When engines that change should serve again. */
     readyTimes(): readonly Instant[] {
-        return [...this.tracks.values()].map(({ readyAt }) => readyAt);
+        return [...this.tracks.values()].flatMap(({ changes }) => [...changes.values()].map(({ readyAt }) => readyAt));
     }
 
     /** An engine refused work because it still changes. */
-    noteStillChanging(target: TargetId, until: Instant): void {
-        const track = this.tracks.get(target);
-        if (track?.ordered !== undefined) {
-            track.readyAt = Math.max(track.readyAt, until) as Instant;
+    noteStillChanging(target: TargetId, model: string, until: Instant): void {
+        const change = this.tracks.get(target)?.changes.get(model);
+        if (change !== undefined) {
+            change.readyAt = Math.max(change.readyAt, until) as Instant;
         }
     }
 
     /** An engine's answer showed its version; a lower one than ordered means that the order did not take effect. */
-    noteServed(engine: EngineState, version: WeightVersion): void {
+    noteServed(engine: EngineState, model: string, version: WeightVersion): void {
         const track = this.trackOf(engine);
-        if (track.ordered !== undefined && version < track.ordered) {
-            track.ordered = undefined;
+        const change = track.changes.get(model);
+        if (change !== undefined && version < change.version) {
+            track.changes.delete(model);
             track.accepted = undefined;
         }
     }
 
-    private believed(engine: EngineState): WeightVersion {
-        return Math.max(engine.version, this.trackOf(engine).ordered ?? 0) as WeightVersion;
-    }
-
-    private mayOrder(engine: EngineState, named: WeightVersion, now: Instant): boolean {
+    private orderFor(
+        engine: EngineState,
+        now: Instant,
+    ): { order: VersionOrder; behind: number; running: number; } | undefined {
+        const model = this.shares.modelOf(engine.target);
         const track = this.trackOf(engine);
-        return this.believed(engine) < named && !track.sending && track.accepted !== undefined && track.notBefore <= now
-            && track.readyAt <= now;
+        const behind = model === undefined ? undefined : this.behind(engine, model);
+        if (model === undefined || behind === undefined || behind === 0) {
+            return undefined;
+        }
+        if (track.accepted === undefined || track.notBefore > now || this.isPaused(engine.target, now, 0)) {
+            return undefined;
+        }
+        const { target, incarnation, running } = engine;
+        const version = this.named.get(model)!;
+        return { order: { target, incarnation, model, version, expectedOrders: track.accepted }, behind, running };
     }
 
-    private isChanging(engine: EngineState, now: Instant): boolean {
-        const track = this.trackOf(engine);
-        return track.sending || track.readyAt > now;
+    /** Versions that the engine is behind, counting changes that it has accepted. */
+    private behind(engine: EngineState, model: string): number | undefined {
+        const version = listedVersion(engine, model);
+        const ordered = this.trackOf(engine).changes.get(model)?.version ?? 0;
+        const named = this.named.get(model);
+        return version === undefined || named === undefined
+            ? undefined
+            : versionsBehind(Math.max(version, ordered) as WeightVersion, named);
     }
 
     private trackOf({ target, incarnation }: EngineState): Track {
@@ -209,9 +241,8 @@
         }
         const track: Track = {
             incarnation,
-            ordered: undefined,
-            readyAt: 0 as Instant,
-            sending: false,
+            changes: new Map(),
+            sending: undefined,
             accepted: undefined,
             notBefore: 0 as Instant,
         };
@@ -219,3 +250,7 @@
         return track;
     }
 }
+
+function listedVersion({ models }: EngineState, model: string): WeightVersion | undefined {
+    return models.find(known => known.model === model)?.version;
+}
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -120,12 +120,13 @@
     }
 
     /** Moves the long runs of an engine that is about to pause to others, as far as these have room. */
-    vacate(target: TargetId): void {
+    vacate(target: TargetId, model: string): void {
         let room = this.seats().filter(seat => seat.target !== target)
             .reduce((sum, seat) => sum + Math.max(0, seat.slots - seat.running), 0);
         for (const [run, running] of this.stops) {
             const isLong = run.progress.events >= longEvents;
-            if (running.target === target && isLong && running.moved === undefined && room-- > 0) {
+            const isConcerned = running.target === target && run.job.job.model === model;
+            if (isConcerned && isLong && running.moved === undefined && room-- > 0) {
                 running.moved = "changing";
                 running.stop.abort();
             }
--- a/packages/rollout/src/lib/VersionTask.ts
+++ b/packages/rollout/src/lib/VersionTask.ts
@@ -6,6 +6,7 @@
     type EngineState,
     type Instant,
     type RolloutEngines,
+    type ServiceId,
     type TargetEntryView,
     type TargetId,
     type VersionOrder,
@@ -21,9 +22,8 @@
 /** What the plans need to know of the tasks that run. */
 export interface WorkAtEngines {
     runningAt(target: TargetId): number;
-    readonly hasWaiting: boolean;
-    /** Moves the tasks of an engine that is about to pause. */
-    vacate(target: TargetId): void;
+    /** Moves an engine's tasks of a model that is about to change. */
+    vacate(target: TargetId, model: string): void;
 }
 
 /** What may change. */
@@ -34,13 +34,10 @@
 /** Milliseconds between looks at the plans. */
 const lookEveryMs = 60;
 
-/** Versions that an engine may lag behind before it changes although it is busy: a step allows the version before. */
-const allowedLag = 0;
-
-/** Keeps the plans of all models. */
+/** Keeps the plans of all services. */
 export class VersionTask {
     readonly events = new Emittery<VersionEvents>();
-    private readonly plans = new Map<string, VersionPlan>();
+    private readonly plans = new Map<ServiceId, VersionPlan>();
     private readonly reporting = new Set<TargetId>();
     private work: WorkAtEngines | undefined;
     private cancelLook: (() => void) | undefined;
@@ -68,19 +65,15 @@
     }
 
     versionOf(entry: TargetEntryView, model: string, now: Instant): WeightVersion | undefined {
-        const engine = this.engineOf(entry, model);
-        return engine === undefined ? undefined : this.planOf(model).versionOf(engine, now);
+        return this.planOf(entry.service).versionOf(this.engineOf(entry), model, now);
     }
 
     noteServed(entry: TargetEntryView, model: string, version: WeightVersion): void {
-        const engine = this.engineOf(entry, model);
-        if (engine !== undefined) {
-            this.planOf(model).noteServed(engine, version);
-        }
+        this.planOf(entry.service).noteServed(this.engineOf(entry), model, version);
     }
 
     noteStillChanging(entry: TargetEntryView, model: string, until: Instant): void {
-        this.planOf(model).noteStillChanging(entry.target, until);
+        this.planOf(entry.service).noteStillChanging(entry.target, model, until);
     }
 
     /** Whether an engine pauses its tasks for a change of weights. */
@@ -100,14 +93,19 @@
             return;
         }
         const now = this.clock.now();
-        for (const [model, version] of this.view.versions) {
-            const plan = this.planOf(model);
-            plan.name(version);
-            const engines = this.view.directory.targets.flatMap(entry => this.engineOf(entry, model) ?? []);
+        const engines = new Map<ServiceId, EngineState[]>();
+        for (const entry of this.view.directory.targets) {
+            if (entry.models.length > 0) {
+                engines.set(entry.service, [...engines.get(entry.service) ?? [], this.engineOf(entry)]);
+            }
+        }
+        for (const [service, states] of engines) {
+            const plan = this.planOf(service);
+            this.view.versions.forEach((version, model) => plan.name(model, version));
             if (this.conductor.tenure.mayOrder(now)) {
-                plan.decide(engines, now, work.hasWaiting).forEach(order => void this.order(plan, order));
+                plan.decide(states, now).forEach(order => void this.order(plan, order));
+                plan.unclear(states, now).forEach(target => void this.readReport(plan, target));
             }
-            plan.unclear(now).forEach(target => void this.readReport(plan, model, target));
         }
         this.cancelLook = this.clock.callAt(after(now, lookEveryMs), () => this.look());
     }
@@ -119,7 +117,7 @@
             return;
         }
         plan.noteSent(order);
-        this.work?.vacate(order.target);
+        this.work?.vacate(order.target, order.model);
         this.conductor.tenure.noteOrder(this.clock.now());
         const end = await this.engines.order(entry, order, this.self, claim.fence);
         plan.noteEnd(order, end, this.clock.now());
@@ -135,7 +133,7 @@
         void this.events.emit("changed");
     }
 
-    private async readReport(plan: VersionPlan, model: string, target: TargetId): Promise<void> {
+    private async readReport(plan: VersionPlan, target: TargetId): Promise<void> {
         const entry = this.view.directory.get(target);
         if (entry === undefined || this.reporting.has(target)) {
             return;
@@ -144,39 +142,34 @@
         const res = await this.engines.report(entry);
         this.reporting.delete(target);
         res.ifRight(report => {
-            const version = report.versions.find(known => known.model === model)?.version;
-            const engine = this.engineOf(entry, model);
-            if (engine !== undefined && version !== undefined) {
-                plan.noteReport({ ...engine, version }, report.orders, report.isBusy, this.clock.now());
-            }
-            this.journal.note("engine-report", { target, model, version, orders: report.orders, busy: report.isBusy });
+            plan.noteReport(
+                { ...this.engineOf(entry), models: report.versions },
+                report.orders,
+                report.isBusy,
+                this.clock.now(),
+            );
+            const versions = report.versions.map(({ model, version }) => `${model} ${version}`);
+            this.journal.note("engine-report", { target, versions, orders: report.orders, busy: report.isBusy });
         });
         res.ifLeft(detail => {
             plan.noteNoReport(target, this.clock.now());
-            this.journal.note("engine-report", { target, model, detail });
+            this.journal.note("engine-report", { target, detail });
         });
         void this.events.emit("changed");
     }
 
-    private planOf(model: string): VersionPlan {
-        const known = this.plans.get(model);
+    private planOf(service: ServiceId): VersionPlan {
+        const known = this.plans.get(service);
         if (known !== undefined) {
             return known;
         }
         const { changingShare, changeMs } = this.settings;
-        const plan = new VersionPlan(model, { changingShare, changeMs, allowedLag });
-        this.plans.set(model, plan);
+        const plan = new VersionPlan({ changingShare, changeMs });
+        this.plans.set(service, plan);
         return plan;
     }
 
-    private engineOf(entry: TargetEntryView, model: string): EngineState | undefined {
-        const version = entry.models.find(known => known.model === model)?.version;
-        return version === undefined ? undefined : {
-            target: entry.target,
-            incarnation: entry.incarnation,
-            version,
-            leaving: entry.leaving,
-            running: this.work?.runningAt(entry.target) ?? 0,
-        };
+    private engineOf({ target, incarnation, models, leaving }: TargetEntryView): EngineState {
+        return { target, incarnation, models, leaving, running: this.work?.runningAt(target) ?? 0 };
     }
 }
