--- a/packages/rollout/src/lib/EngineRests.ts
+++ b/packages/rollout/src/lib/EngineRests.ts
@@ -5,6 +5,9 @@
 /** Milliseconds that an engine rests after its first fault in a row, and at most. */
 const restMs = { first: 150, longest: 2000 } as const;
 
+/** Milliseconds before an engine that refused work is asked again: a change of weights takes several times as long. */
+const refusedMs = 150;
+
 interface Rest {
     readonly incarnation: Incarnation;
     readonly faults: number;
@@ -32,6 +35,12 @@
         return ms;
     }
 
+    /** Notes that an engine refused work; it is asked again after a moment, without a longer rest for each refusal. */
+    noteRefusal({ target, incarnation }: TargetEntryView, now: Instant): void {
+        const faults = this.rests.get(target)?.faults ?? 0;
+        this.rests.set(target, { incarnation, faults, until: after(now, refusedMs) });
+    }
+
     noteServed(target: TargetId): void {
         this.rests.delete(target);
     }
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -302,6 +302,7 @@
             this.journal.note("target-resting", { target: entry.target, reason: end.detail, ms });
         }
         if (end.kind === "refused") {
+            this.rests.noteRefusal(entry, now);
             this.versions.noteStillChanging(entry, run.job.job.model, after(now, stillChangingMs));
         }
         const result = this.board.end(run, end.kind === "cancelled" || isTooOld ? "broken" : runEnds[end.kind], now);
--- /dev/null
+++ b/packages/rollout/src/lib/JobStore.test.ts
@@ -0,0 +1,153 @@
+/** Jobs in the store under refused, lost and late writes and two conductors: kept once, listed once, never changed. */
+
+import { createSteadyClock } from "@tamarackpath/adapters";
+import {
+    asId,
+    type GroupId,
+    type Instant,
+    type Job,
+    type JobId,
+    jobKeys,
+    JobLog,
+    type KeyRevision,
+    type TaskId,
+    type WeightVersion,
+} from "@tamarackpath/core";
+import { expect } from "chai";
+import fc from "fast-check";
+import { JobStore, partsOf } from "./JobStore.js";
+import { MemoryTransactionalStore, type WriteFault } from "./MemoryStore.test.js";
+
+/** Interleavings that each run tries; more by hand with TAMARACK_RUNS. */
+const runs = Number(process.env["TAMARACK_RUNS"] ?? 300);
+
+const soonMs = 2000;
+
+function jobFixture(bodyBytes = 10): Job {
+    return {
+        id: asId<JobId>("job"),
+        host: "h",
+        path: "/p/",
+        submittedAt: 5 as Instant,
+        step: 0,
+        model: "m",
+        minVersion: 1 as WeightVersion,
+        targetGroups: 1,
+        tasks: [{
+            id: asId<TaskId>("t"),
+            group: asId<GroupId>("g"),
+            path: "/p/1",
+            headers: { a: "b" },
+            body: Buffer.alloc(bodyBytes, 7),
+            tokens: 1,
+            expectedTokens: undefined,
+        }],
+    };
+}
+
+function fixture(faults: WriteFault[] = []): { store: MemoryTransactionalStore; jobs: JobStore; soon: () => Instant; } {
+    const store = new MemoryTransactionalStore(faults);
+    const clock = createSteadyClock();
+    return { store, jobs: new JobStore(store, clock), soon: () => (clock.now() + soonMs) as Instant };
+}
+
+async function claimFixture(store: MemoryTransactionalStore): Promise<KeyRevision> {
+    const res = await store.commit({
+        expected: [],
+        puts: [{ key: jobKeys.claim, value: Buffer.from("c") }],
+        removes: [],
+    });
+    const result = res.unsafeCoerce();
+    return result.kind === "committed" ? result.revision : expect.fail("The claim was not taken.");
+}
+
+describe("JobStore", () => {
+    it("keeps a job once, whatever is submitted again, also after its end", async () => {
+        const { store, jobs, soon } = fixture();
+        expect(await jobs.keep(jobFixture(), soon(), () => false)).to.equal("kept");
+        expect(await jobs.keep(jobFixture(), soon(), () => false)).to.equal("kept");
+        await jobs.end(jobFixture().id, 1, 0);
+        expect(await jobs.keep(jobFixture(), soon(), () => false)).to.equal("kept");
+        expect((await jobs.find(jobFixture().id)).unsafeCoerce().kind).to.equal("ended");
+        expect((await store.range(jobKeys.openPrefix)).unsafeCoerce().items).to.deep.equal([]);
+    });
+
+    it("says that a job is not kept only when no write can have taken effect", async () => {
+        const refused = fixture(["refused"]);
+        expect(await refused.jobs.keep(jobFixture(), refused.soon(), () => true)).to.equal("not-kept");
+        const late = fixture(["late", "refused"]);
+        let tries = 0;
+        expect(await late.jobs.keep(jobFixture(), late.soon(), () => ++tries > 1)).to.equal("unknown");
+        late.store.applyLate();
+        expect((await late.jobs.find(jobFixture().id)).unsafeCoerce().kind).to.equal("open");
+    });
+
+    it("settles a lost answer by writing the same again", async () => {
+        const { jobs, soon } = fixture(["answer-lost"]);
+        expect(await jobs.keep(jobFixture(), soon(), () => false)).to.equal("kept");
+    });
+
+    it("splits a job that is larger than a value of the store, and reads it back", async () => {
+        const { jobs, soon } = fixture();
+        const large = jobFixture(2_000_000);
+        expect(partsOf(large)).to.equal(3);
+        await jobs.keep(large, soon(), () => false);
+        const found = (await jobs.find(large.id)).unsafeCoerce();
+        expect(found.kind === "open" && found.job.tasks[0]!.body.length).to.equal(2_000_000);
+    });
+
+    it("lists nothing under a claim that another host has taken", async () => {
+        const { store, jobs } = fixture();
+        const old = await claimFixture(store);
+        await claimFixture(store);
+        const res = await jobs.append(jobFixture().id, { number: 0, results: [] }, old);
+        expect(res.swap().unsafeCoerce().claim?.item?.key).to.equal(jobKeys.claim);
+    });
+
+    it("gives each position one result for good, with two conductors, lost answers and late writes", async () => {
+        const fault = fc.constantFrom<WriteFault>("none", "none", "refused", "answer-lost", "late");
+        const steps = fc.array(fc.tuple(fc.nat(1), fc.nat(5), fc.boolean()), { minLength: 5, maxLength: 40 });
+        await fc.assert(
+            fc.asyncProperty(fc.array(fault, { maxLength: 40 }), steps, async (faults, moves) => {
+                const store = new MemoryTransactionalStore();
+                const claim = await claimFixture(store);
+                const faulty = new JobStore(withFaults(store, faults), createSteadyClock());
+                const logs = [new JobLog(), new JobLog()];
+                const seen: string[][] = [[], []];
+                for (const [writer, task, late] of moves) {
+                    const log = logs[writer]!;
+                    log.add({
+                        task: asId<TaskId>(`t${task}`),
+                        state: "completed",
+                        output: `by ${writer}`,
+                        versions: [],
+                    });
+                    const chunk = log.takeChunk();
+                    if (chunk !== undefined) {
+                        (await faulty.append(asId<JobId>("job"), chunk, claim)).ifRight(standing =>
+                            log.adopt(standing)
+                        );
+                    }
+                    if (late) {
+                        store.applyLate();
+                    }
+                    const now = log.listed.map(result => `${result.task} ${result.output}`);
+                    expect(now.slice(0, seen[writer]!.length)).to.deep.equal(seen[writer]);
+                    seen[writer] = now;
+                }
+                const shorter = Math.min(seen[0]!.length, seen[1]!.length);
+                expect(seen[0]!.slice(0, shorter)).to.deep.equal(seen[1]!.slice(0, shorter));
+                for (const list of seen) {
+                    const tasks = list.map(line => line.split(" ")[0]);
+                    expect(new Set(tasks).size).to.equal(tasks.length);
+                }
+            }),
+            { numRuns: runs, seed: 4, endOnFailure: true },
+        );
+    });
+});
+
+function withFaults(store: MemoryTransactionalStore, faults: readonly WriteFault[]): MemoryTransactionalStore {
+    store.plan(faults);
+    return store;
+}
