--- /dev/null
+++ b/apps/cli/src/lib/commands/explain.test.ts
@@ -0,0 +1,34 @@
+/** Tests of the story that is told from logs. */
+
+import { expect } from "chai";
+import { readLogLines, storyOf } from "./explain.js";
+
+const log = [
+    `12.5 host-a {"at":1000,"host":"a","event":"task-started","task":"t1","target":"e1"}`,
+    `{"at":900,"host":"a","event":"store-lost","duty":"jobs"}`,
+    `{"at":1500,"host":"a","event":"task-ended","task":"t1","target":"e1","end":"fault"}`,
+    `{"at":1400,"host":"b","event":"store-lost","duty":"jobs"}`,
+    `{"at":1600,"host":"a","event":"target-resting","target":"e1"}`,
+    `{"at":2000,"host":"a","event":"results-listed","tasks":["t1 failed","t2"]}`,
+    `{"at":2100,"host":"a","event":"results-li`,
+    `{"at":99000,"host":"a","event":"store-lost","duty":"jobs"}`,
+    "plain text",
+].join("\n");
+
+describe("explain", () => {
+    it("reads the objects of a log, with or without a prefix, and skips what was cut off", () => {
+        expect(readLogLines(log)).to.have.length(7);
+    });
+
+    it("tells what names the id and what its hosts believed meanwhile, in order of time", () => {
+        const story = storyOf(readLogLines(log), "t1").map(({ at, event }) => `${at} ${event}`);
+        expect(story).to.deep.equal([
+            "900 store-lost",
+            "1000 task-started",
+            "1500 task-ended",
+            "1600 target-resting",
+            "2000 results-listed",
+        ]);
+        expect(storyOf(readLogLines(log), "t9")).to.deep.equal([]);
+    });
+});
--- a/apps/cli/src/main.ts
+++ b/apps/cli/src/main.ts
@@ -5,6 +5,7 @@
 import { ask, type AskOptions, pullStep, submitStep } from "./lib/commands/callers.js";
 import { showConfig, showHistory } from "./lib/commands/config.js";
 import { drain } from "./lib/commands/drain.js";
+import { explain } from "./lib/commands/explain.js";
 import { dumpHost, showHosts, showStatus, showSteps, showTargets } from "./lib/commands/observe.js";
 import {
     applyQuestionnaire,
@@ -88,6 +89,12 @@
     .option("--body", "JSON body of the call")
     .option("--key", "Idempotency key of the call")
     .action((path: string, options: GlobalOptions & AskOptions) => connected(options, to => ask(to, path, options)));
+program.command("explain <id>", "Tells the story of a request, job or task from log files or standard input.")
+    .example("explain 9c41d07be2a35f68 --logs=entry-1.log,entry-2.log")
+    .option("--logs", "Log files, separated by commas; standard input without it")
+    .action((id: string, options: GlobalOptions & { readonly logs?: string; }) =>
+        explain(id, options.logs?.split(",") ?? [], isJson(options))
+    );
 program.command("token", "Makes a token for a caller, with its hash.")
     .action((options: GlobalOptions) => newToken(isJson(options)));
 
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,5 +1,6 @@
 /** Adapters that fulfil the core's ports over HTTP and WebSocket. */
 
+export * from "./lib/connectionHeaders.js";
 export * from "./lib/EtcdKeyValue.js";
 export * from "./lib/GuardedKeyValue.js";
 export * from "./lib/HttpEngine.js";
--- a/platform/src/lib/wire/connectionHeaders.ts
+++ b/packages/adapters/src/lib/connectionHeaders.ts
@@ -1,6 +1,7 @@
 /** Headers that concern one connection only, and are never forwarded. */
 
-const connectionHeaders = new Set([
+/** Names in lower case. */
+export const connectionHeaders: ReadonlySet<string> = new Set([
     "connection",
     "keep-alive",
     "proxy-authenticate",
--- a/packages/rollout/src/lib/CallForwarder.ts
+++ b/packages/rollout/src/lib/CallForwarder.ts
@@ -170,7 +170,7 @@
     private settle: (answer: CallAnswer) => void = () => undefined;
     private refusals = 0;
     private best: CallAnswer | undefined;
-    private lastDetail = "No target is known.";
+    private lastDetail = "No target has answered.";
     private hasHead = false;
 
     constructor(
--- a/packages/rollout/src/lib/JobBook.ts
+++ b/packages/rollout/src/lib/JobBook.ts
@@ -6,23 +6,21 @@
 import {
     after,
     type Clock,
-    type GroupId,
     type Instant,
     type Job,
     type JobBoard,
     type JobId,
     JobLog,
     type JobTerms,
-    type KeyRevision,
     type OpenJob,
     sleepUntil,
-    type StoredItem,
     type TaskResult,
     type TaskRun,
 } from "@tamarackpath/core";
 import Emittery from "emittery";
 import { type JobStore, partsOf } from "./JobStore.js";
 import { type Journal } from "./Journal.js";
+import { ResultWriter, type ResultWriterOptions } from "./ResultWriter.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
 
 /** What may happen to jobs. */
@@ -34,14 +32,10 @@
 }
 
 /** What the book needs. */
-export interface JobBookOptions {
+export interface JobBookOptions extends ResultWriterOptions {
     readonly settings: RolloutSettings;
     /** The terms of a job by the routes in force, or undefined when no route fits it. */
     readonly termsOf: (job: Job) => JobTerms | undefined;
-    /** Revision of this host's claim, while it has one. */
-    readonly fence: () => KeyRevision | undefined;
-    /** Told of the claim's key when a write shows that it changed. */
-    readonly onClaimChanged: (item: StoredItem | undefined) => void;
 }
 
 interface KeptLog {
@@ -50,11 +44,8 @@
     readonly endedAt: Instant;
 }
 
-/** Milliseconds between tries to write results that the store did not take. */
-const rewriteMs = 150;
-
-/** Milliseconds before a job is due from which on results are written at once. */
-const dueSoonMs = 1500;
+/** Milliseconds between tries to read results that the store did not give. */
+const rereadMs = 150;
 
 /** Milliseconds for which an ended job's results stay in memory. */
 const rememberMs = 20_000;
@@ -65,8 +56,7 @@
 /** Keeps the jobs of the conductor. */
 export class JobBook {
     readonly events = new Emittery<JobBookEvents>();
-    private readonly flushing = new Set<JobId>();
-    private readonly gathering = new Map<JobId, AbortController>();
+    private readonly writer: ResultWriter;
     private readonly ended = new Map<JobId, KeptLog>();
     private readonly opening = new Set<JobId>();
     /** Results of a host that conducted before, for jobs that are not open here yet. */
@@ -81,7 +71,16 @@
         private readonly jobs: JobStore,
         private readonly clock: Clock,
         private readonly journal: Journal,
-    ) {}
+    ) {
+        this.writer = new ResultWriter(
+            options,
+            open => this.isActive && board.get(open.job.id) === open,
+            job => void this.events.emit("listed", job),
+            jobs,
+            clock,
+            journal,
+        );
+    }
 
     /** Begins to accept jobs, after the host became conductor; jobs that it still knows are compared with the store. */
     activate(): void {
@@ -134,7 +133,7 @@
             (this.inherited.get(job.id) ?? []).forEach(result => log.add(result));
             this.inherited.delete(job.id);
             const open = this.board.add(job, terms, log);
-            void this.flush(open);
+            void this.writer.write(open);
             this.journal.note("job-opened", {
                 job: job.id,
                 step: job.step,
@@ -228,7 +227,7 @@
     /** Queues a task's result to be written. */
     addResult(open: OpenJob, result: TaskResult): void {
         if (open.log.add(result)) {
-            void this.flush(open);
+            void this.writer.write(open);
         }
     }
 
@@ -253,86 +252,12 @@
         }
     }
 
-    private async flush(open: OpenJob): Promise<void> {
-        const { job, log } = open;
-        if (this.flushing.has(job.id)) {
-            this.hurry(open);
-            return;
-        }
-        this.flushing.add(job.id);
-        try {
-            while (this.isActive && this.board.get(job.id) === open && log.hasPending) {
-                await this.gather(open);
-                if (!await this.writeNext(open)) {
-                    await sleepUntil(this.clock, after(this.clock.now(), rewriteMs));
-                }
-            }
-        }
-        finally {
-            this.flushing.delete(job.id);
-        }
-    }
-
-    /** Waits for more results to write with those at hand, unless the trainer has all that it waits for. */
-    private async gather(open: OpenJob): Promise<void> {
-        const hurry = new AbortController();
-        this.gathering.set(open.job.id, hurry);
-        this.hurry(open);
-        await sleepUntil(this.clock, after(this.clock.now(), this.options.settings.gatherMs), hurry.signal);
-        this.gathering.delete(open.job.id);
-    }
-
-    private hurry(open: OpenJob): void {
-        const isLast = open.waiting.length + open.running.size === 0;
-        const isDue = Date.now() > open.terms.dueAt - dueSoonMs;
-        if (isLast || isDue || hasWhatIsAwaited(open)) {
-            this.gathering.get(open.job.id)?.abort();
-        }
-    }
-
-    private async writeNext(open: OpenJob): Promise<boolean> {
-        const { job, log } = open;
-        const fence = this.options.fence();
-        if (fence === undefined) {
-            return false;
-        }
-        const chunk = log.takeChunk()!;
-        const res = await this.jobs.append(job.id, chunk, fence);
-        return res.caseOf({
-            Left: failure => {
-                if (failure.claim !== undefined) {
-                    this.options.onClaimChanged(failure.claim.item);
-                }
-                this.journal.note("store-write-retried", {
-                    job: job.id,
-                    chunk: chunk.number,
-                    applied: failure.applied,
-                    detail: failure.detail,
-                });
-                return false;
-            },
-            Right: standing => {
-                log.adopt(standing);
-                this.journal.note("results-listed", {
-                    job: job.id,
-                    chunk: standing.number,
-                    tasks: standing.results.map(({ task, state }) => state === "completed" ? task : `${task} ${state}`),
-                    listed: log.listed.length,
-                    total: job.tasks.length,
-                    own: standing === chunk,
-                });
-                void this.events.emit("listed", job.id);
-                return true;
-            },
-        });
-    }
-
     /** Takes results that another host listed while this one did not hold the claim. */
     private async refresh(open: OpenJob): Promise<void> {
         const log = await this.readLog(open.job.id);
         log.chunks.forEach(chunk => open.log.adopt(chunk));
         void this.events.emit("stopped", this.board.dropKnown(open));
-        void this.flush(open);
+        void this.writer.write(open);
         void this.events.emit("listed", open.job.id);
     }
 
@@ -344,17 +269,8 @@
                 chunks.forEach(chunk => log.adopt(chunk));
                 return log;
             }
-            await sleepUntil(this.clock, after(this.clock.now(), rewriteMs));
+            await sleepUntil(this.clock, after(this.clock.now(), rereadMs));
         }
         return log;
     }
 }
-
-/** Whether every group that the trainer waits for has all its results, with those that are not listed yet. */
-function hasWhatIsAwaited({ job, log }: OpenJob): boolean {
-    const left = new Map<GroupId, number>();
-    for (const task of job.tasks) {
-        left.set(task.group, (left.get(task.group) ?? 0) + (log.knows(task.id) ? 0 : 1));
-    }
-    return [...left.values()].filter(count => count === 0).length >= job.targetGroups;
-}
--- a/packages/rollout/src/lib/Journal.ts
+++ b/packages/rollout/src/lib/Journal.ts
@@ -62,9 +62,14 @@
         }
     };
     const logger = new Logger<ILogObj>({ type: "hidden", hideLogPositionForProduction: true, metaProperty });
-    logger.attachTransport(({ [metaProperty]: unused, ...line }) => write(`${JSON.stringify(line)}\n`));
+    logger.attachTransport(({ [metaProperty]: unused, ...line }) => write(`${JSON.stringify(line, rounded)}\n`));
     return { note: (event, fields) => void logger.info({ at: Date.now(), host, event, ...fields }) };
 }
 
+/** Times are measured finer than a reader needs them. */
+function rounded(unused: string, value: unknown): unknown {
+    return typeof value === "number" ? Math.round(value * 10) / 10 : value;
+}
+
 /** A journal that keeps nothing, for tests. */
 export const silentJournal: Journal = { note: () => undefined };
