--- a/packages/core/src/lib/conduct/VersionPlan.test.ts
+++ b/packages/core/src/lib/conduct/VersionPlan.test.ts
@@ -69,6 +69,21 @@
         expect(plan.decide([engine], at(2001))[0]?.expectedOrders).to.equal(order!.expectedOrders);
     });
 
+    it("gives an engine no work while it changes, although its entry lists the new version already", () => {
+        const engines = [engineFixture("a"), engineFixture("b")];
+        const plan = planFixture(engines);
+        const [order] = plan.decide(engines, at(1));
+        plan.noteSent(order!);
+        plan.noteEnd(order!, "accepted", at(10));
+        const listed = engineFixture("a", { models: [{ model: "m", version: version(2) }] });
+        expect(plan.versionOf(listed, "m", at(800))).to.equal(undefined);
+        expect(plan.decide([listed, engines[1]!], at(800))).to.deep.equal([]);
+        plan.noteStillChanging(listed.target, "m", at(1200));
+        expect(plan.versionOf(listed, "m", at(1100))).to.equal(undefined);
+        expect(plan.decide([listed, engines[1]!], at(1100))).to.deep.equal([]);
+        expect(plan.versionOf(listed, "m", at(1200))).to.equal(2);
+    });
+
     it("forgets what it knew when an engine starts again under its id", () => {
         const engine = engineFixture("a");
         const plan = planFixture([engine]);
--- a/packages/core/src/lib/conduct/VersionPlan.ts
+++ b/packages/core/src/lib/conduct/VersionPlan.ts
@@ -86,13 +86,11 @@
         const version = listedVersion(engine, model);
         const { sending, changes } = this.trackOf(engine);
         const change = changes.get(model);
-        if (version === undefined || sending?.model === model) {
+        // An engine lists a new version before it serves it, so the time of the change counts and not the list.
+        if (version === undefined || sending?.model === model || change !== undefined && now < change.readyAt) {
             return undefined;
         }
-        if (change === undefined || change.version <= version) {
-            return version;
-        }
-        return now >= change.readyAt ? change.version : undefined;
+        return Math.max(version, change?.version ?? 0) as WeightVersion;
     }
 
     /** The orders to send at `now`. */
--- a/packages/rollout/src/lib/RolloutSettings.ts
+++ b/packages/rollout/src/lib/RolloutSettings.ts
@@ -24,7 +24,7 @@
     readonly silentAtStartMs: number;
     /** Share of a model's engines that may change weights at once. */
     readonly changingShare: number;
-    /** Time that a change of weights takes. */
+    /** Time that a change of weights takes: the platform's 0.9 s, and the order's way with some slack. */
     readonly changeMs: number;
     /** Share of a call's target latency after which an idempotent call is sent to a second target. */
     readonly hedgeShare: number;
@@ -44,7 +44,7 @@
     silentMs: 600,
     silentAtStartMs: 900,
     changingShare: 0.25,
-    changeMs: 950,
+    changeMs: 1050,
     hedgeShare: 0.45,
     keepResultsMs: 120_000,
 };
