Do not answer reads from memory while a write of results has no answer

A write whose answer was lost had listed a chunk; a reader saw it in the store while the conductor's claim had lapsed, and the conductor, once it had the claim again, answered from memory without it until its next try to write. Now such a page counts as unsure, as does each page between a claim and the reading of the store, and the entry host asks the store.

--- a/packages/core/src/lib/jobs/JobLog.test.ts
+++ b/packages/core/src/lib/jobs/JobLog.test.ts
@@ -48,6 +48,28 @@
         expect(log.listed).to.deep.equal([]);
     });
 
+    it("is uncertain while a write without an answer may have put results into the store", () => {
+        const log = new JobLog();
+        log.add(resultFixture("a"));
+        const chunk = log.takeChunk()!;
+        expect(log.isCertain).to.equal(true);
+        log.doubt();
+        log.adopt({ number: 5, results: [] });
+        expect(log.isCertain).to.equal(false);
+        log.adopt(chunk);
+        expect(log.isCertain).to.equal(true);
+    });
+
+    it("stays uncertain when another write lost its answer while the store was read again", () => {
+        const log = new JobLog();
+        const first = log.doubt();
+        const second = log.doubt();
+        log.trust(first);
+        expect(log.isCertain).to.equal(false);
+        log.trust(second);
+        expect(log.isCertain).to.equal(true);
+    });
+
     it("pages by bytes, with at least one result", () => {
         const listed = [resultFixture("a", "x".repeat(900)), resultFixture("b", "x".repeat(900)), resultFixture("c")];
         expect(pageOf(listed, 0, 100)).to.have.length(1);
--- a/packages/core/src/lib/jobs/JobLog.ts
+++ b/packages/core/src/lib/jobs/JobLog.ts
@@ -24,11 +24,29 @@
     private pending: TaskResult[] = [];
     private nextNumber = 0;
     private writing: ResultChunk | undefined;
+    private mayMissResults = false;
+    private doubts = 0;
 
     get listed(): readonly TaskResult[] {
         return this.listedResults;
     }
 
+    /** False while the store may hold results that are not listed here, such as those of a write without an answer. */
+    get isCertain(): boolean {
+        return !this.mayMissResults;
+    }
+
+    /** Notes that the store may hold more; returns the number of the doubt. */
+    doubt(): number {
+        this.mayMissResults = true;
+        return ++this.doubts;
+    }
+
+    /** Notes that what gave rise to doubt `number` has been adopted or cannot take effect; a later doubt stays. */
+    trust(number: number): void {
+        this.mayMissResults = this.doubts !== number;
+    }
+
     get chunks(): readonly ResultChunk[] {
         return this.listedChunks;
     }
@@ -85,6 +103,7 @@
         }
         const displaced = this.writing?.results ?? [];
         this.writing = undefined;
+        this.mayMissResults = false;
         this.list(chunk);
         this.pending = [...displaced, ...this.pending].filter(result => !this.listedIds.has(result.task));
     }
--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -184,7 +184,7 @@
 
 /** Results as the conductor lists them. */
 export interface ConductorPage extends ResultPage {
-    /** False when another host may have listed more, because the conductor no longer hears the store. */
+    /** False when the store may hold more: the conductor no longer hears it, or a write of results got no answer. */
     readonly isSure: boolean;
 }
 
--- a/packages/rollout/src/lib/JobBook.ts
+++ b/packages/rollout/src/lib/JobBook.ts
@@ -254,8 +254,11 @@
 
     /** Takes results that another host listed while this one did not hold the claim. */
     private async refresh(open: OpenJob): Promise<void> {
+        const doubt = open.log.doubt();
         const log = await this.readLog(open.job.id);
         log.chunks.forEach(chunk => open.log.adopt(chunk));
+        // Writes under the claim before cannot take effect any more.
+        open.log.trust(doubt);
         void this.events.emit("stopped", this.board.dropKnown(open));
         void this.writer.write(open);
         void this.events.emit("listed", open.job.id);
--- a/packages/rollout/src/lib/JobDesk.ts
+++ b/packages/rollout/src/lib/JobDesk.ts
@@ -178,7 +178,7 @@
             }
             const { log, total } = known;
             const isWhole = log.listed.length >= total || this.book.hasEnded(job);
-            const { isSure } = this.conductor;
+            const isSure = this.conductor.isSure && log.isCertain;
             if (log.listed.length > position || isWhole || !isSure || this.clock.now() >= deadline) {
                 return Right({ total, results: pageOf(log.listed, position, this.options.pageBytes), isSure });
             }
--- a/packages/rollout/src/lib/ResultWriter.ts
+++ b/packages/rollout/src/lib/ResultWriter.ts
@@ -94,6 +94,9 @@
         const res = await this.jobs.append(job.id, chunk, fence);
         return res.caseOf({
             Left: failure => {
+                if (failure.applied === "unknown") {
+                    log.doubt();
+                }
                 if (failure.claim !== undefined) {
                     this.options.onClaimChanged(failure.claim.item);
                 }
