Take over from a conductor that is cut off without waiting for it, and believe no older word

Two standbys passed their copies to the old one, which did not take them, and dropped them: no result of the step before was readable until 25.8 s. When the cut healed, the deposed host read the store, opened all jobs and started 159 tasks beside its successor's. Standbys get each result once, and one copy at a time.

--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -51,6 +51,12 @@
 /** Milliseconds after which a lookup of the claim is repeated while the conductor is not heard. */
 const lookupEveryMs = 400;
 
+/** Milliseconds that a claim waits for the work of the host before; what comes later is taken all the same. */
+const takeOverGraceMs = 120;
+
+/** Milliseconds after an answer of the store for which another host's word of who conducts counts as older. */
+const storeTrustMs = 1500;
+
 /** Keeps this host's belief in who conducts, and its own claim. */
 export class ConductorTask {
     readonly events = new Emittery<ConductorEvents>();
@@ -58,6 +64,8 @@
     private believed: HostId | undefined;
     /** The host that conducted last, as far as this one knows. */
     private predecessor: HostId | undefined;
+    /** When the store last said who holds the claim. */
+    private toldAt = -Infinity as Instant;
     private renewing = false;
     private stopped = false;
 
@@ -82,6 +90,11 @@
         return this.tenure.isValid(this.clock.now());
     }
 
+    /** The conductor to name to other hosts; a holder whose claim may have lapsed does not name itself. */
+    get vouchedFor(): HostId | undefined {
+        return this.isConductor && !this.isSure ? undefined : this.believed;
+    }
+
     /** Looks up who conducts, and claims when nobody does; resolves when it is known or could not be learnt. */
     async lookUp(): Promise<void> {
         const found = await this.store.get(jobKeys.claim, "conductor");
@@ -90,6 +103,7 @@
             await this.pause(lookupEveryMs);
             return;
         }
+        this.toldAt = this.clock.now();
         const record = item === undefined ? undefined : readRecord(item);
         if (record !== undefined && record.resigned === undefined && record.host !== this.options.self) {
             this.believe(record.host);
@@ -106,7 +120,8 @@
 
     /** Takes another host's word for who conducts, when the store cannot be asked. */
     takeWord(host: HostId | undefined): void {
-        if (host !== undefined && host !== this.options.self && !this.isConductor) {
+        const isOlder = this.clock.now() - this.toldAt < storeTrustMs;
+        if (host !== undefined && host !== this.options.self && !this.isConductor && !isOlder) {
             this.believe(host);
         }
     }
@@ -116,6 +131,10 @@
         const claim = this.tenure.current;
         if (claim !== undefined && item?.revision !== claim.fence) {
             this.lose(item === undefined ? "The claim's key is gone." : "Another host holds the claim.");
+            const record = item === undefined ? undefined : readRecord(item);
+            if (record !== undefined && record.resigned === undefined && record.host !== this.options.self) {
+                this.believe(record.host);
+            }
         }
     }
 
@@ -197,10 +216,7 @@
         const predecessor = before?.host ?? this.believed ?? this.predecessor;
         void this.renew();
         if (predecessor !== undefined && predecessor !== this.options.self) {
-            const lastOrderAgeMs = await this.options.takeOver(predecessor, claim.fence);
-            if (lastOrderAgeMs !== undefined && this.tenure.current === claim) {
-                this.tenure.setOrdersFrom(after(this.clock.now(), Math.max(0, orderCalmMs - lastOrderAgeMs)));
-            }
+            await Promise.race([this.takeOver(predecessor, claim), this.pause(takeOverGraceMs)]);
         }
         if (this.tenure.current === claim) {
             this.believe(this.options.self);
@@ -208,6 +224,15 @@
         }
     }
 
+    /** Takes what the host before has; its last order may allow earlier orders here. */
+    private async takeOver(predecessor: HostId, claim: ConductorClaim): Promise<void> {
+        const lastOrderAgeMs = await this.options.takeOver(predecessor, claim.fence);
+        if (lastOrderAgeMs !== undefined && this.tenure.current === claim) {
+            const calmMs = Math.max(0, this.options.settings.orderCalmMs - lastOrderAgeMs);
+            this.tenure.setOrdersFrom(after(this.clock.now(), calmMs));
+        }
+    }
+
     private async renew(): Promise<void> {
         if (this.renewing) {
             return;
--- a/packages/rollout/src/lib/JobBook.ts
+++ b/packages/rollout/src/lib/JobBook.ts
@@ -113,9 +113,14 @@
         this.inherited.set(job, [...this.inherited.get(job) ?? [], result]);
     }
 
+    /** A host that lost the claim goes on with its jobs for a moment, but takes no others. */
+    private get mayOpen(): boolean {
+        return this.isActive && this.options.fence() !== undefined;
+    }
+
     /** Opens a job that the store holds; `isNew` spares the reading of its results. */
     async open(job: Job, isNew: boolean): Promise<void> {
-        if (!this.isActive || this.opening.has(job.id) || this.knows(job.id)) {
+        if (!this.mayOpen || this.opening.has(job.id) || this.knows(job.id)) {
             return;
         }
         const terms = this.options.termsOf(job);
@@ -127,7 +132,7 @@
         this.opening.add(job.id);
         try {
             const log = isNew ? new JobLog() : await this.readLog(job.id);
-            if (!this.isActive || this.ended.has(job.id)) {
+            if (!this.mayOpen || this.ended.has(job.id)) {
                 return;
             }
             (this.inherited.get(job.id) ?? []).forEach(result => log.add(result));
--- a/packages/rollout/src/lib/LiveWatch.ts
+++ b/packages/rollout/src/lib/LiveWatch.ts
@@ -62,6 +62,9 @@
         }
         const byKey = new Map(range.items.map(item => [item.key, item]));
         this.conductor.noteChange(byKey.get(jobKeys.claim));
+        if (!this.conductor.isConductor) {
+            return undefined;
+        }
         const open = range.items.filter(({ key }) => key.startsWith(jobKeys.openPrefix));
         const ended = range.items.filter(({ key }) => key.startsWith(jobKeys.endedPrefix));
         ended.forEach(({ key }) => this.book.close(jobOf(key, jobKeys.endedPrefix)));
--- a/packages/rollout/src/lib/StandbyTask.test.ts
+++ b/packages/rollout/src/lib/StandbyTask.test.ts
@@ -5,16 +5,18 @@
     asId,
     type HostId,
     JobBoard,
+    type JobId,
     type KeptWork,
     type PeerNetwork,
     type ProgressSnapshot,
     type StandbyCopy,
     type TaskId,
+    type UnlistedResult,
     type WeightVersion,
     type ZoneId,
 } from "@tamarackpath/core";
 import { expect } from "chai";
-import { Right } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import { type JobBook } from "./JobBook.js";
 import { silentJournal } from "./Journal.js";
 import { StandbyTask } from "./StandbyTask.js";
@@ -23,29 +25,42 @@
     readonly keep: (copy: StandbyCopy) => Promise<unknown>;
     readonly task: StandbyTask;
     readonly passed: KeptWork[];
+    readonly copies: StandbyCopy[];
 }
 
-function standbyFixture(): Fixture {
+interface FixtureOptions {
+    readonly unlisted?: readonly UnlistedResult[];
+    /** How a peer answers; by default at once, with what was asked taken. */
+    readonly answer?: () => Promise<unknown>;
+}
+
+function standbyFixture({ unlisted = [], answer = async () => Right(Right({})) }: FixtureOptions = {}): Fixture {
     const handlers = new Map<string, (ask: unknown) => Promise<unknown>>();
     const passed: KeptWork[] = [];
+    const copies: StandbyCopy[] = [];
     const peers = {
         handle: (name: string, handler: (ask: unknown) => Promise<unknown>) => handlers.set(name, handler),
         setAddress: () => undefined,
         ask: async (unused: HostId, name: string, ask: unknown) => {
-            expect(name).to.equal("standby-work");
-            passed.push(ask as KeptWork);
-            return Right(Right({}));
+            (name === "standby-work" ? passed : copies).push(ask as KeptWork & StandbyCopy);
+            return await answer();
         },
     } as unknown as PeerNetwork;
     const options = {
         zone: asId<ZoneId>("z"),
-        followers: () => [],
+        followers: () => [{ host: asId<HostId>("f"), zone: asId<ZoneId>("y"), hasCallers: false }],
         adopt: () => undefined,
         isConductor: () => false,
     };
     const board = new JobBoard(() => 1);
-    const task = new StandbyTask(options, board, {} as JobBook, peers, createSteadyClock(), silentJournal);
-    return { keep: copy => handlers.get("standby-keep")!(copy), task, passed };
+    const book = { unlisted } as unknown as JobBook;
+    const task = new StandbyTask(options, board, book, peers, createSteadyClock(), silentJournal);
+    return { keep: copy => handlers.get("standby-keep")!(copy), task, passed, copies };
+}
+
+function resultFixture(): UnlistedResult {
+    const task = asId<TaskId>("t");
+    return { job: asId<JobId>("j"), result: { task, state: "completed", output: "abc", versions: [] } };
 }
 
 function textFixture(textId: number, pieces: readonly string[], lastEventId: number): ProgressSnapshot {
@@ -77,4 +92,34 @@
         await standby.passOn(conductor);
         expect(passed[1]!.texts[0]!.text).to.deep.include({ textId: 6, pieces: ["X"] });
     });
+
+    it("keeps what a conductor did not take, for the next one", async () => {
+        const answers = [Left({ reason: "no-answer", detail: "cut off" }), Right(Right({}))];
+        const { keep, task: standby, passed } = standbyFixture({ answer: async () => answers.shift() });
+        await keep({ results: [resultFixture()], texts: [{ task, from: 0, text: textFixture(5, ["a"], 1) }] });
+        await standby.passOn(conductor);
+        await standby.passOn(asId<HostId>("d"));
+        expect(passed.map(({ results, texts }) => [results.length, texts.length])).to.deep.equal([[1, 1], [1, 1]]);
+    });
+
+    it("sends a result once, and nothing more while a copy is on its way", async () => {
+        const unlisted = [resultFixture()];
+        let release: (answer: unknown) => void = () => undefined;
+        const { task: standby, copies } = standbyFixture({
+            unlisted,
+            answer: () => new Promise(resolve => release = resolve),
+        });
+        standby.activate();
+        unlisted.push({ ...resultFixture(), job: asId<JobId>("k") });
+        await passMs(900);
+        expect(copies.map(({ results }) => results.map(({ job }) => job))).to.deep.equal([["j"]]);
+        release(Right(Right({})));
+        await passMs(500);
+        standby.deactivate();
+        expect(copies.map(({ results }) => results.map(({ job }) => job))).to.deep.equal([["j"], ["k"]]);
+    });
 });
+
+function passMs(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/packages/rollout/src/lib/StandbyTask.ts
+++ b/packages/rollout/src/lib/StandbyTask.ts
@@ -15,6 +15,7 @@
     type ProgressSnapshot,
     type StandbyCopy,
     type TaskId,
+    type TaskResult,
     type TextId,
     type UnlistedResult,
     type ZoneId,
@@ -52,12 +53,20 @@
 /** Most texts that a standby keeps. */
 const mostKept = 1500;
 
+/** What one standby has of the conductor's work. */
+interface SentCopies {
+    readonly texts: Map<TaskId, { readonly textId: TextId; readonly events: number; }>;
+    readonly results: Set<TaskResult>;
+}
+
 /** Keeps and sends copies. */
 export class StandbyTask {
     private readonly keptTexts = new Map<TaskId, ProgressSnapshot>();
     private keptResults: UnlistedResult[] = [];
-    /** What of each task a standby has. */
-    private readonly sent = new Map<HostId, Map<TaskId, { readonly textId: TextId; readonly events: number; }>>();
+    /** What each standby has. */
+    private readonly sent = new Map<HostId, SentCopies>();
+    /** Standbys with a copy on its way. */
+    private readonly sending = new Set<HostId>();
     private cancelCopy: (() => void) | undefined;
 
     constructor(
@@ -107,6 +116,17 @@
             texts: kept.texts.length,
             taken: res.isRight(),
         });
+        if (res.isLeft()) {
+            this.putBack(kept);
+        }
+    }
+
+    /** Keeps work that its conductor did not take, for the next one; newer copies stand. */
+    private putBack({ results, texts }: KeptWork): void {
+        this.keptResults = [...results, ...this.keptResults].slice(-mostKept);
+        texts.filter(({ task }) => !this.keptTexts.has(task)).forEach(({ task, text }) =>
+            this.keptTexts.set(task, text)
+        );
     }
 
     private takeKept(): KeptWork {
@@ -136,29 +156,43 @@
     }
 
     private copy(): void {
-        for (const host of this.standbys()) {
-            const sent = this.sent.get(host) ?? new Map<TaskId, { textId: TextId; events: number; }>();
-            this.sent.set(host, sent);
-            const texts = this.board.texts.flatMap(({ task, progress }) => {
-                const known = sent.get(task);
-                const from = known?.textId === progress.textId ? known.events : 0;
-                const text = progress.events - from >= copyEvents ? progress.snapshot(from) : undefined;
-                return text === undefined ? [] : [{ task, from, text }];
-            });
-            const results = this.book.unlisted;
-            if (texts.length + results.length > 0) {
-                texts.forEach(({ task, from, text }) => {
-                    sent.set(task, { textId: text.textId, events: from + text.pieces.length });
-                });
-                void this.send(host, { texts, results });
+        // A copy that is still on its way holds the next one back, so that a slow standby costs no memory here.
+        for (const host of this.standbys().filter(standby => !this.sending.has(standby))) {
+            const copy = this.newFor(host);
+            if (copy.texts.length + copy.results.length > 0) {
+                void this.send(host, copy);
             }
         }
         this.cancelCopy = this.clock.callAt(after(this.clock.now(), copyEveryMs), () => this.copy());
     }
 
+    /** What a standby does not have yet; it counts as sent. */
+    private newFor(host: HostId): StandbyCopy {
+        const before = this.sent.get(host);
+        const now: SentCopies = { texts: new Map(), results: new Set() };
+        const texts = this.board.texts.flatMap(({ task, progress }) => {
+            const known = before?.texts.get(task);
+            const from = known?.textId === progress.textId ? known.events : 0;
+            const text = progress.events - from >= copyEvents ? progress.snapshot(from) : undefined;
+            if (text !== undefined) {
+                now.texts.set(task, { textId: text.textId, events: from + text.pieces.length });
+            }
+            else if (known !== undefined) {
+                now.texts.set(task, known);
+            }
+            return text === undefined ? [] : [{ task, from, text }];
+        });
+        const { unlisted } = this.book;
+        unlisted.forEach(({ result }) => now.results.add(result));
+        this.sent.set(host, now);
+        return { texts, results: unlisted.filter(({ result }) => before?.results.has(result) !== true) };
+    }
+
     private async send(host: HostId, copy: StandbyCopy): Promise<void> {
+        this.sending.add(host);
         this.peers.setAddress(host, host);
         const res = await this.peers.ask(host, "standby-keep", copy, after(this.clock.now(), copyMs));
+        this.sending.delete(host);
         if (res.isLeft()) {
             this.sent.delete(host);
         }
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -50,6 +50,7 @@
 export class ViewTask {
     private stopped = false;
     private unheardSince: Instant | undefined;
+    private hasHeardConductor = false;
     private readonly pulls = new Map<HostId, Follower & { readonly at: Instant; }>();
     /** The conductor's number of the view taken last, and whose number it is. */
     private taken: { readonly host: HostId; readonly number: number; } | undefined;
@@ -71,7 +72,8 @@
         });
         peers.handle("conductor-ask", async () => {
             const { zone } = options;
-            return Right({ conductor: conductor.conductor, zone });
+            const isKnown = conductor.isConductor || this.hasHeardConductor;
+            return Right({ conductor: isKnown ? conductor.vouchedFor : undefined, zone });
         });
     }
 
@@ -151,6 +153,7 @@
             }
             const heard = host !== undefined && await this.pull(host);
             missed = heard ? 0 : missed + 1;
+            this.hasHeardConductor = heard;
             if (heard) {
                 this.unheardSince = undefined;
             }
