Keep only what is still needed at standbys, and stop a deposed conductor as soon as its followers hear the next

The host before, cut off from the store but not from the engines, went on with its runs for 4.5 s more and held the engines' places. Changes: copies name what is settled, and a first copy replaces what was kept; an earlier conductor's work is passed on before; a holder whose claim may have lapsed asks hosts that followed it who conducts now. Four unit tests cover these.

--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -161,8 +161,12 @@
 
 /** What is new since the last copy to a standby. */
 export interface StandbyCopy {
+    /** Set when the standby has nothing of this conductor's yet; what it kept before is dropped. */
+    readonly isFirst: boolean;
     readonly results: readonly UnlistedResult[];
     readonly texts: readonly TextPart[];
+    /** Tasks of which the result is listed, or the text is not needed any more. */
+    readonly settled: readonly TaskId[];
 }
 
 /** What was kept of a conductor's jobs beside the store. */
--- a/packages/rollout/src/lib/ConductorTask.test.ts
+++ b/packages/rollout/src/lib/ConductorTask.test.ts
@@ -104,6 +104,17 @@
         expect(task.conductor).to.equal(other);
     });
 
+    it("gives up for a successor that others hear only once its own claim may have lapsed", async () => {
+        const { task } = conductorFixture(80);
+        await task.lookUp();
+        task.takeSuccessor(other);
+        expect(task.conductor).to.equal(self);
+        await passMs(100);
+        task.takeSuccessor(other);
+        expect(task.conductor).to.equal(other);
+        expect(task.isConductor).to.equal(false);
+    });
+
     it("begins without the host before when that one stays silent", async () => {
         const { task, claimed } = conductorFixture(5000, () => new Promise(() => undefined));
         task.takeWord(other);
--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -126,6 +126,14 @@
         }
     }
 
+    /** Takes other hosts' word that another host conducts, while this one's claim may have lapsed. */
+    takeSuccessor(host: HostId): void {
+        if (host !== this.options.self && this.isConductor && !this.isSure) {
+            this.lose("Other hosts hear another conductor.");
+            this.believe(host);
+        }
+    }
+
     /** Takes a change of the claim's key that a watch saw. */
     noteChange(item: StoredItem | undefined): void {
         const claim = this.tenure.current;
--- a/packages/rollout/src/lib/StandbyTask.test.ts
+++ b/packages/rollout/src/lib/StandbyTask.test.ts
@@ -22,7 +22,7 @@
 import { StandbyTask } from "./StandbyTask.js";
 
 interface Fixture {
-    readonly keep: (copy: StandbyCopy) => Promise<unknown>;
+    readonly keep: (copy: StandbyCopy, from?: HostId) => Promise<unknown>;
     readonly task: StandbyTask;
     readonly passed: KeptWork[];
     readonly copies: StandbyCopy[];
@@ -35,11 +35,12 @@
 }
 
 function standbyFixture({ unlisted = [], answer = async () => Right(Right({})) }: FixtureOptions = {}): Fixture {
-    const handlers = new Map<string, (ask: unknown) => Promise<unknown>>();
+    const handlers = new Map<string, (ask: unknown, from: HostId) => Promise<unknown>>();
     const passed: KeptWork[] = [];
     const copies: StandbyCopy[] = [];
     const peers = {
-        handle: (name: string, handler: (ask: unknown) => Promise<unknown>) => handlers.set(name, handler),
+        handle: (name: string, handler: (ask: unknown, from: HostId) => Promise<unknown>) =>
+            handlers.set(name, handler),
         setAddress: () => undefined,
         ask: async (unused: HostId, name: string, ask: unknown) => {
             (name === "standby-work" ? passed : copies).push(ask as KeptWork & StandbyCopy);
@@ -55,7 +56,12 @@
     const board = new JobBoard(() => 1);
     const book = { unlisted } as unknown as JobBook;
     const task = new StandbyTask(options, board, book, peers, createSteadyClock(), silentJournal);
-    return { keep: copy => handlers.get("standby-keep")!(copy), task, passed, copies };
+    const first = asId<HostId>("first");
+    return { keep: (copy, from = first) => handlers.get("standby-keep")!(copy, from), task, passed, copies };
+}
+
+function partFixture(): StandbyCopy {
+    return { isFirst: false, results: [], texts: [], settled: [] };
 }
 
 function resultFixture(): UnlistedResult {
@@ -73,8 +79,8 @@
 
     it("joins the parts of one text and passes all of it to a new conductor, once", async () => {
         const { keep, task: standby, passed } = standbyFixture();
-        await keep({ results: [], texts: [{ task, from: 0, text: textFixture(5, ["a", "b"], 2) }] });
-        await keep({ results: [], texts: [{ task, from: 2, text: textFixture(5, ["c"], 3) }] });
+        await keep({ ...partFixture(), texts: [{ task, from: 0, text: textFixture(5, ["a", "b"], 2) }] });
+        await keep({ ...partFixture(), texts: [{ task, from: 2, text: textFixture(5, ["c"], 3) }] });
         await standby.passOn(conductor);
         await standby.passOn(conductor);
         expect(passed.map(({ texts }) => texts.map(({ text }) => text.pieces.join("")))).to.deep.equal([["abc"]]);
@@ -82,13 +88,13 @@
 
     it("drops a part of another text, or one that leaves a gap, and takes a whole text in its place", async () => {
         const { keep, task: standby, passed } = standbyFixture();
-        await keep({ results: [], texts: [{ task, from: 0, text: textFixture(5, ["a", "b"], 2) }] });
-        await keep({ results: [], texts: [{ task, from: 2, text: textFixture(6, ["X"], 3) }] });
-        await keep({ results: [], texts: [{ task, from: 4, text: textFixture(5, ["e"], 5) }] });
+        await keep({ ...partFixture(), texts: [{ task, from: 0, text: textFixture(5, ["a", "b"], 2) }] });
+        await keep({ ...partFixture(), texts: [{ task, from: 2, text: textFixture(6, ["X"], 3) }] });
+        await keep({ ...partFixture(), texts: [{ task, from: 4, text: textFixture(5, ["e"], 5) }] });
         await standby.passOn(conductor);
         expect(passed[0]!.texts[0]!.text.pieces).to.deep.equal(["a", "b"]);
-        await keep({ results: [], texts: [{ task, from: 0, text: textFixture(5, ["a", "b"], 2) }] });
-        await keep({ results: [], texts: [{ task, from: 0, text: textFixture(6, ["X"], 1) }] });
+        await keep({ ...partFixture(), texts: [{ task, from: 0, text: textFixture(5, ["a", "b"], 2) }] });
+        await keep({ ...partFixture(), texts: [{ task, from: 0, text: textFixture(6, ["X"], 1) }] });
         await standby.passOn(conductor);
         expect(passed[1]!.texts[0]!.text).to.deep.include({ textId: 6, pieces: ["X"] });
     });
@@ -96,12 +102,46 @@
     it("keeps what a conductor did not take, for the next one", async () => {
         const answers = [Left({ reason: "no-answer", detail: "cut off" }), Right(Right({}))];
         const { keep, task: standby, passed } = standbyFixture({ answer: async () => answers.shift() });
-        await keep({ results: [resultFixture()], texts: [{ task, from: 0, text: textFixture(5, ["a"], 1) }] });
+        await keep({
+            ...partFixture(),
+            results: [resultFixture()],
+            texts: [{ task, from: 0, text: textFixture(5, ["a"], 1) }],
+        });
         await standby.passOn(conductor);
         await standby.passOn(asId<HostId>("d"));
         expect(passed.map(({ results, texts }) => [results.length, texts.length])).to.deep.equal([[1, 1], [1, 1]]);
     });
 
+    it("drops what is settled, and all of an earlier conductor's at the first copy of another", async () => {
+        const { keep, task: standby, passed } = standbyFixture();
+        const text = { task, from: 0, text: textFixture(5, ["a"], 1) };
+        await keep({ ...partFixture(), results: [resultFixture()], texts: [text] });
+        await keep({ ...partFixture(), settled: [task] });
+        await standby.passOn(conductor);
+        await keep({ ...partFixture(), results: [resultFixture()], texts: [text] });
+        await keep({ ...partFixture(), isFirst: true, texts: [{ ...text, task: asId<TaskId>("u") }] });
+        await standby.passOn(conductor);
+        expect(passed.map(({ results, texts }) => [results.length, texts.map(kept => kept.task)]))
+            .to.deep.equal([[0, ["u"]]]);
+    });
+
+    it("passes an earlier conductor's work to the host whose copy comes next", async () => {
+        const { keep, passed } = standbyFixture();
+        await keep({ ...partFixture(), results: [resultFixture()] });
+        await keep({ ...partFixture(), isFirst: true }, conductor);
+        expect(passed.map(({ results }) => results.length)).to.deep.equal([1]);
+    });
+
+    it("tells standbys which results need not be kept any more", async () => {
+        const unlisted = [resultFixture()];
+        const { task: standby, copies } = standbyFixture({ unlisted });
+        standby.activate();
+        unlisted.pop();
+        await passMs(500);
+        standby.deactivate();
+        expect(copies.map(({ isFirst, settled }) => [isFirst, settled])).to.deep.equal([[true, []], [false, ["t"]]]);
+    });
+
     it("sends a result once, and nothing more while a copy is on its way", async () => {
         const unlisted = [resultFixture()];
         let release: (answer: unknown) => void = () => undefined;
--- a/packages/rollout/src/lib/StandbyTask.ts
+++ b/packages/rollout/src/lib/StandbyTask.ts
@@ -47,6 +47,9 @@
 /** Milliseconds that a standby has to take a copy. */
 const copyMs = 800;
 
+/** Milliseconds that a conductor has to take what a standby kept: a few megabytes over the slowest link of a host. */
+const passMs = 2000;
+
 /** Events from which on a text is copied, and by which it must have grown for another copy. */
 const copyEvents = 10;
 
@@ -63,6 +66,8 @@
 export class StandbyTask {
     private readonly keptTexts = new Map<TaskId, ProgressSnapshot>();
     private keptResults: UnlistedResult[] = [];
+    /** The conductor whose work is kept. */
+    private keptFor: HostId | undefined;
     /** What each standby has. */
     private readonly sent = new Map<HostId, SentCopies>();
     /** Standbys with a copy on its way. */
@@ -77,7 +82,12 @@
         private readonly clock: Clock,
         private readonly journal: Journal,
     ) {
-        peers.handle("standby-keep", async copy => {
+        peers.handle("standby-keep", async (copy, from) => {
+            if (this.keptFor !== undefined && this.keptFor !== from) {
+                // A new conductor's first copy may arrive before this host hears who conducts.
+                void this.passOn(from);
+            }
+            this.keptFor = from;
             this.keep(copy);
             return Right({});
         });
@@ -109,7 +119,7 @@
             return;
         }
         this.peers.setAddress(conductor, conductor);
-        const res = await this.peers.ask(conductor, "standby-work", kept, after(this.clock.now(), copyMs));
+        const res = await this.peers.ask(conductor, "standby-work", kept, after(this.clock.now(), passMs));
         this.journal.note("standby-passed", {
             conductor,
             results: kept.results.length,
@@ -137,8 +147,14 @@
         return { results, texts };
     }
 
-    private keep({ results, texts }: StandbyCopy): void {
-        this.keptResults = [...this.keptResults, ...results].slice(-mostKept);
+    private keep({ isFirst, results, texts, settled }: StandbyCopy): void {
+        if (isFirst) {
+            this.takeKept();
+        }
+        const isSettled = new Set(settled);
+        settled.forEach(task => this.keptTexts.delete(task));
+        this.keptResults = [...this.keptResults.filter(({ result }) => !isSettled.has(result.task)), ...results]
+            .slice(-mostKept);
         for (const { task, from, text } of texts) {
             const known = this.keptTexts.get(task);
             const start = from === 0 ? [] : known?.textId === text.textId ? known.pieces.slice(0, from) : undefined;
@@ -159,7 +175,7 @@
         // A copy that is still on its way holds the next one back, so that a slow standby costs no memory here.
         for (const host of this.standbys().filter(standby => !this.sending.has(standby))) {
             const copy = this.newFor(host);
-            if (copy.texts.length + copy.results.length > 0) {
+            if (copy.texts.length + copy.results.length + copy.settled.length > 0) {
                 void this.send(host, copy);
             }
         }
@@ -185,7 +201,14 @@
         const { unlisted } = this.book;
         unlisted.forEach(({ result }) => now.results.add(result));
         this.sent.set(host, now);
-        return { texts, results: unlisted.filter(({ result }) => before?.results.has(result) !== true) };
+        const isKept = new Set([...now.texts.keys(), ...unlisted.map(({ result }) => result.task)]);
+        const had = [...before?.texts.keys() ?? [], ...[...before?.results ?? []].map(({ task }) => task)];
+        return {
+            isFirst: before === undefined,
+            results: unlisted.filter(({ result }) => before?.results.has(result) !== true),
+            texts,
+            settled: had.filter(task => !isKept.has(task)),
+        };
     }
 
     private async send(host: HostId, copy: StandbyCopy): Promise<void> {
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -43,6 +43,9 @@
 /** Milliseconds without an answer from outside the zone after which a host counts as cut off. */
 const cutOffAfterMs = 300;
 
+/** Hosts that are asked who conducts when this host's own claim may have lapsed. */
+const mostAsked = 4;
+
 /** Milliseconds between rounds in which nothing could be learnt. */
 const roundMs = 250;
 
@@ -149,6 +152,9 @@
             const host = this.conductor.conductor;
             if (this.conductor.isConductor) {
                 await sleepUntil(this.clock, after(this.clock.now(), roundMs));
+                if (!this.conductor.isSure) {
+                    await this.askForSuccessor();
+                }
                 continue;
             }
             const heard = host !== undefined && await this.pull(host);
@@ -188,14 +194,30 @@
         return true;
     }
 
-    /** Asks the seeds for the conductor; true when one of another zone answered. */
-    private async askSeeds(): Promise<boolean> {
-        const answers = await Promise.all(this.options.seeds.map(async seed => {
-            this.peers.setAddress(seed, seed);
-            const res = await this.peers.ask(seed, "conductor-ask", {}, after(this.clock.now(), pullSlackMs));
+    /** Asks hosts that followed this one whether they hear another conductor; this one's claim has lapsed then. */
+    private async askForSuccessor(): Promise<void> {
+        const followed = [...this.pulls.values()].sort((a, b) => b.at - a.at).map(({ host }) => host);
+        const heard = await this.askForConductor([...followed.slice(0, mostAsked), ...this.options.seeds]);
+        const successor = heard.find(({ conductor }) => conductor !== undefined)?.conductor;
+        if (successor !== undefined) {
+            this.conductor.takeSuccessor(successor);
+        }
+    }
+
+    private async askForConductor(
+        hosts: readonly HostId[],
+    ): Promise<readonly { readonly conductor: HostId | undefined; readonly zone: ZoneId; }[]> {
+        const answers = await Promise.all(hosts.map(async host => {
+            this.peers.setAddress(host, host);
+            const res = await this.peers.ask(host, "conductor-ask", {}, after(this.clock.now(), pullSlackMs));
             return res.toMaybe().chain(answer => answer.toMaybe()).extract();
         }));
-        const heard = answers.filter(answer => answer !== undefined);
+        return answers.filter(answer => answer !== undefined);
+    }
+
+    /** Asks the seeds for the conductor; true when one of another zone answered. */
+    private async askSeeds(): Promise<boolean> {
+        const heard = await this.askForConductor(this.options.seeds);
         this.conductor.takeWord(heard.find(({ conductor }) => conductor !== undefined)?.conductor);
         return heard.some(({ zone }) => zone !== this.options.zone);
     }
