Notice a conductor that is cut off within its claim's lifetime, and make that 1.5 s

Changes: hosts without callers ask such a host for a quick word before they wait for it; renewals go out at regular times, and one without an answer does not hold back the next. A unit test failed before. The pause before a successor's first order is counted from the end of the claim, so it stands.

--- a/packages/core/src/lib/conduct/Tenure.ts
+++ b/packages/core/src/lib/conduct/Tenure.ts
@@ -42,7 +42,8 @@
 
     renew(lease: LeaseId, validUntil: Instant): void {
         if (this.claim?.lease === lease) {
-            this.validUntil = validUntil;
+            // Answers to renewals may overtake each other.
+            this.validUntil = Math.max(this.validUntil, validUntil) as Instant;
         }
     }
 
--- a/packages/core/src/lib/jobs/jobFixtures.test.ts
+++ b/packages/core/src/lib/jobs/jobFixtures.test.ts
@@ -66,6 +66,7 @@
         running: 0,
         versionOf: () => 1 as WeightVersion,
         speed: 1,
+        lastingSpeed: 1,
         ...changes,
     };
 }
--- a/packages/rollout/src/lib/ConductorTask.test.ts
+++ b/packages/rollout/src/lib/ConductorTask.test.ts
@@ -7,6 +7,7 @@
     type HostId,
     jobKeys,
     type KeyValueFailure,
+    type LeaseId,
     type StoredItem,
     type StoreLease,
     type TransactionalStore,
@@ -39,6 +40,24 @@
     }
 }
 
+/** A store whose leases last 200 ms, and which answers every second renewal only after that. */
+class FlakyLeaseStore extends LeasingStore {
+    private renewals = 0;
+
+    constructor() {
+        super(200);
+    }
+
+    override async keepLease(id?: LeaseId): Promise<Either<KeyValueFailure, StoreLease | undefined>> {
+        const deadline = after(clock.now(), 200);
+        if (this.renewals++ % 2 === 0) {
+            await passMs(250);
+            return Left({ applied: "unknown", detail: "no answer" });
+        }
+        return Right({ id: id!, deadline });
+    }
+}
+
 interface Fixture {
     readonly store: TransactionalStore;
     readonly task: ConductorTask;
@@ -115,6 +134,24 @@
         expect(task.isConductor).to.equal(false);
     });
 
+    it("keeps its claim while every second renewal stays without an answer", async () => {
+        const store = new FlakyLeaseStore();
+        const options = {
+            self,
+            settings: { ...defaultRolloutSettings, claimRenewMs: 40 },
+            claimDelayMs: () => 0,
+            mayClaim: () => true,
+            takeOver: async () => undefined,
+        };
+        const task = new ConductorTask(options, store, clock, silentJournal);
+        await task.lookUp();
+        for (let nth = 0; nth < 8; nth++) {
+            await passMs(50);
+            expect(task.isSure).to.equal(true);
+        }
+        await task.resign();
+    });
+
     it("begins without the host before when that one stays silent", async () => {
         const { task, claimed } = conductorFixture(5000, () => new Promise(() => undefined));
         task.takeWord(other);
--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -51,6 +51,9 @@
 /** Milliseconds after which a lookup of the claim is repeated while the conductor is not heard. */
 const lookupEveryMs = 400;
 
+/** Renewals without an answer at once: one more than fit into the time limit of a call. */
+const mostOpenRenewals = 3;
+
 /** Milliseconds that a claim waits for the work of the host before; what comes later is taken all the same. */
 const takeOverGraceMs = 120;
 
@@ -67,6 +70,7 @@
     /** When the store last said who holds the claim. */
     private toldAt = -Infinity as Instant;
     private renewing = false;
+    private openRenewals = 0;
     private stopped = false;
 
     constructor(
@@ -241,6 +245,7 @@
         }
     }
 
+    /** Renews the lease at regular times; a renewal without an answer does not hold the next one back. */
     private async renew(): Promise<void> {
         if (this.renewing) {
             return;
@@ -250,18 +255,9 @@
             while (this.tenure.current !== undefined && !this.stopped) {
                 await this.pause(this.options.settings.claimRenewMs);
                 const claim = this.tenure.current as ConductorClaim | undefined;
-                if (claim === undefined) {
-                    return;
+                if (claim !== undefined && this.openRenewals < mostOpenRenewals) {
+                    void this.renewOnce(claim);
                 }
-                const res = await this.store.keepLease(claim.lease, this.options.settings.claimTtlMs);
-                res.ifRight(lease => {
-                    if (lease === undefined) {
-                        this.lose("The lease has ended.");
-                    }
-                    else {
-                        this.tenure.renew(lease.id, lease.deadline);
-                    }
-                });
             }
         }
         finally {
@@ -269,6 +265,20 @@
         }
     }
 
+    private async renewOnce(claim: ConductorClaim): Promise<void> {
+        this.openRenewals++;
+        const res = await this.store.keepLease(claim.lease, this.options.settings.claimTtlMs);
+        this.openRenewals--;
+        res.ifRight(lease => {
+            if (lease !== undefined) {
+                this.tenure.renew(lease.id, lease.deadline);
+            }
+            else if (this.tenure.current === claim) {
+                this.lose("The lease has ended.");
+            }
+        });
+    }
+
     private lose(reason: string): void {
         if (this.tenure.current === undefined) {
             return;
--- a/packages/rollout/src/lib/RolloutSettings.ts
+++ b/packages/rollout/src/lib/RolloutSettings.ts
@@ -34,8 +34,8 @@
 
 /** The defaults. */
 export const defaultRolloutSettings: RolloutSettings = {
-    claimTtlMs: 2200,
-    claimRenewMs: 500,
+    claimTtlMs: 1500,
+    claimRenewMs: 350,
     orderCalmMs: 2500,
     pollMs: 900,
     staleViewMs: 1600,
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -43,6 +43,9 @@
 /** Milliseconds without an answer from outside the zone after which a host counts as cut off. */
 const cutOffAfterMs = 300;
 
+/** Milliseconds that a host has to say that it still conducts: far above a round trip between zones. */
+const isThereMs = 250;
+
 /** Hosts that are asked who conducts when this host's own claim may have lapsed. */
 const mostAsked = 4;
 
@@ -147,6 +150,7 @@
 
     /** Waits at the conductor for changes, and looks for a conductor when it is not heard. */
     private async followLoop(): Promise<void> {
+        const { hasCallers } = this.options;
         let missed = 0;
         while (!this.stopped) {
             const host = this.conductor.conductor;
@@ -157,7 +161,8 @@
                 }
                 continue;
             }
-            const heard = host !== undefined && await this.pull(host);
+            const mayAnswer = host !== undefined && (missed === 0 || hasCallers || await this.isThere(host));
+            const heard = mayAnswer && await this.pull(host);
             missed = heard ? 0 : missed + 1;
             this.hasHeardConductor = heard;
             if (heard) {
@@ -173,6 +178,16 @@
         }
     }
 
+    /**
+     * Whether a host that did not answer in time says again that it conducts. Hosts without callers ask, as they claim
+     * first: a pull would wait so long for a host that is cut off that its lapsed claim were noticed late.
+     */
+    private async isThere(host: HostId): Promise<boolean> {
+        this.peers.setAddress(host, host);
+        const res = await this.peers.ask(host, "conductor-ask", {}, after(this.clock.now(), isThereMs));
+        return res.toMaybe().chain(answer => answer.toMaybe()).extract()?.conductor === host;
+    }
+
     private async pull(host: HostId): Promise<boolean> {
         this.peers.setAddress(host, host);
         const { zone, hasCallers } = this.options;
