--- a/packages/core/src/lib/jobs/JobBoard.test.ts
+++ b/packages/core/src/lib/jobs/JobBoard.test.ts
@@ -75,18 +75,6 @@
         expect(board.next(seats, now)?.target).to.equal("usual");
     });
 
-    it("takes a long sample up again at an engine that is fast for good, and a short one where there is most room", () => {
-        for (const [events, target] of [[30, "strong"], [3, "weak"]] as const) {
-            const board = boardFixture();
-            board.add(jobFixture([taskFixture(0)]), termsFixture(), new JobLog());
-            const { run } = board.next([seatFixture("a")], now)!;
-            run.progress.replace(textOf(events), 5);
-            board.end(run, "broken", now);
-            const seats = [seatFixture("weak", { lastingSpeed: 0.77 }), seatFixture("strong", { running: 3 })];
-            expect(board.next(seats, 1000 as Instant)?.target).to.equal(target);
-        }
-    });
-
     it("takes a run that broke off up again elsewhere after its last event", () => {
         const board = boardFixture();
         board.add(jobFixture([taskFixture(0)]), termsFixture(), new JobLog());
--- a/packages/core/src/lib/jobs/JobBoard.ts
+++ b/packages/core/src/lib/jobs/JobBoard.ts
@@ -43,8 +43,6 @@
     readonly versionOf: (model: string) => WeightVersion | undefined;
     /** 1 for an engine at full speed, less for a slower one. */
     readonly speed: number;
-    /** The same over seconds: what the engine is like for good. */
-    readonly lastingSpeed: number;
 }
 
 /** A task's run, or its wait for one. */
@@ -83,12 +81,6 @@
 /** How much busier an engine may be than the least busy one to keep a group together, as a share of its slots. */
 const groupAffinity = 0.25;
 
-/** Events from which on a sample is longer than most, and its step will wait for it. */
-export const longEvents = 25;
-
-/** Lasting speed that an engine for a long sample must have, as a share of the fastest one with room. */
-const leastLongSpeed = 0.9;
-
 /** Milliseconds before a task that an engine did not take is offered again. */
 const retryAfterMs = { "not-run": 60, "broken": 20, "failed": 50 } as const;
 
@@ -267,8 +259,7 @@
 
     private choose(run: TaskRun, seats: readonly EngineSeat[]): EngineSeat | undefined {
         const others = seats.filter(seat => seat.target !== run.avoid);
-        const fitting = others.length > 0 ? others : seats;
-        const candidates = run.progress.events >= longEvents ? fastestOf(fitting) : fitting;
+        const candidates = others.length > 0 ? others : seats;
         const least = candidates.reduce((best, seat) => loadOf(seat) < loadOf(best) ? seat : best);
         const home = candidates.find(seat => seat.target === this.homes.get(run.task.group));
         return home !== undefined && loadOf(home) <= loadOf(least) + groupAffinity ? home : least;
@@ -309,11 +300,6 @@
     return seat.service === terms.service && (seat.versionOf(job.model) ?? -1) >= job.minVersion;
 }
 
-function fastestOf(seats: readonly EngineSeat[]): readonly EngineSeat[] {
-    const most = Math.max(...seats.map(({ lastingSpeed }) => lastingSpeed));
-    return seats.filter(({ lastingSpeed }) => lastingSpeed >= most * leastLongSpeed);
-}
-
 function loadOf(seat: EngineSeat): number {
     return (seat.running + 1) / seat.slots / seat.speed;
 }
--- a/packages/core/src/lib/jobs/MovePlan.test.ts
+++ b/packages/core/src/lib/jobs/MovePlan.test.ts
@@ -20,13 +20,12 @@
         heardAt: 2000 as Instant,
         startedAt: 0 as Instant,
         hasEvents: true,
-        isLong: false,
         ...changes,
     };
 }
 
-function roomFixture(name: string, speed: number, free = 4, lastingSpeed = 1): RoomyEngine {
-    return { target: asId<TargetId>(name), speed, free, lastingSpeed };
+function roomFixture(name: string, speed: number, free = 4): RoomyEngine {
+    return { target: asId<TargetId>(name), speed, free };
 }
 
 function pacesFixture(gaps: Readonly<Record<string, number>>, untilMs: number): PaceBook {
@@ -47,17 +46,6 @@
         expect(paces.speedOf(asId<TargetId>("slow"), 9000 as Instant)).to.equal(1);
     });
 
-    it("knows after some seconds which engines are slower for good, whatever slows others for a moment", () => {
-        const paces = pacesFixture({ a: usualGapMs, b: usualGapMs, c: usualGapMs, weak: 1.3 * usualGapMs }, 8000);
-        for (let ms = 8100; ms <= 8500; ms += 100) {
-            paces.note(asId<TargetId>("b"), 2.5 * usualGapMs, ms as Instant);
-        }
-        const speed = (target: string): number => paces.lastingSpeedOf(asId<TargetId>(target), 20_000 as Instant);
-        expect(speed("weak")).to.be.closeTo(1 / 1.3, 0.05);
-        expect(speed("b")).to.be.above(0.85);
-        expect(paces.lastingSpeedOf(asId<TargetId>("weak"), 60_000 as Instant)).to.equal(1);
-    });
-
     it("does not take a slow third of a second for a slow engine", () => {
         const paces = pacesFixture({ a: usualGapMs, b: usualGapMs, c: usualGapMs }, 2000);
         for (let ms = 2100; ms <= 2300; ms += 100) {
@@ -69,45 +57,33 @@
 
 describe("planMoves", () => {
     const speeds: Readonly<Record<string, number>> = { slow: 0.28, usual: 1 };
-    const engineSpeeds = {
-        speedOf: (target: TargetId): number => speeds[target] ?? 1,
-        lastingSpeedOf: (target: TargetId): number => target === "weak" ? 0.77 : 1,
-    };
+    const speedOf = (target: TargetId): number => speeds[target] ?? 1;
     const now = 2100 as Instant;
 
     it("moves the runs of a slowed engine as far as faster ones have room", () => {
         const runs = [runFixture("slow"), runFixture("slow"), runFixture("slow")];
-        const moves = planMoves(runs, [roomFixture("usual", 1, 2)], engineSpeeds, new Set(), limits, now);
+        const moves = planMoves(runs, [roomFixture("usual", 1, 2)], speedOf, new Set(), limits, now);
         expect(moves.map(({ reason }) => reason)).to.deep.equal(["slow", "slow"]);
     });
 
     it("moves a silent run to any engine with room", () => {
         const silent = runFixture("usual", { heardAt: 1400 as Instant });
-        expect(planMoves([silent], [roomFixture("slow", 0.28)], engineSpeeds, new Set(), limits, now)[0]?.reason)
+        expect(planMoves([silent], [roomFixture("slow", 0.28)], speedOf, new Set(), limits, now)[0]?.reason)
             .to.equal("silent");
     });
 
     it("gives a run longer before its first event, and leaves runs of changing engines alone", () => {
         const waiting = runFixture("usual", { heardAt: 1400 as Instant, startedAt: 1400 as Instant, hasEvents: false });
-        expect(planMoves([waiting], [roomFixture("a", 1)], engineSpeeds, new Set(), limits, now)).to.deep.equal([]);
+        expect(planMoves([waiting], [roomFixture("a", 1)], speedOf, new Set(), limits, now)).to.deep.equal([]);
         const paused = runFixture("usual", { heardAt: 1000 as Instant });
         const changing = new Set([asId<TargetId>("usual")]);
-        expect(planMoves([paused], [roomFixture("a", 1)], engineSpeeds, changing, limits, now)).to.deep.equal([]);
+        expect(planMoves([paused], [roomFixture("a", 1)], speedOf, changing, limits, now)).to.deep.equal([]);
     });
 
     it("does not move a run that has just begun, nor to an engine that is hardly faster", () => {
         const young = runFixture("slow", { startedAt: 1900 as Instant });
-        expect(planMoves([young], [roomFixture("usual", 1)], engineSpeeds, new Set(), limits, now)).to.deep.equal([]);
+        expect(planMoves([young], [roomFixture("usual", 1)], speedOf, new Set(), limits, now)).to.deep.equal([]);
         const fast = [roomFixture("fast", 1.3)];
-        expect(planMoves([runFixture("usual")], fast, engineSpeeds, new Set(), limits, now)).to.deep.equal([]);
-    });
-
-    it("moves long samples, which a step ends with, off engines that are a little slower for good", () => {
-        const long = runFixture("weak", { isLong: true });
-        const rooms = [roomFixture("other-weak", 1, 4, 0.77), roomFixture("strong", 1, 1)];
-        const moves = planMoves([runFixture("weak"), long, long], rooms, engineSpeeds, new Set(), limits, now);
-        expect(moves.map(({ reason, run }) => [reason, run === long.run])).to.deep.equal([["long", true]]);
-        const slowedNow = [roomFixture("strong", 0.4)];
-        expect(planMoves([long], slowedNow, engineSpeeds, new Set(), limits, now)).to.deep.equal([]);
+        expect(planMoves([runFixture("usual")], fast, speedOf, new Set(), limits, now)).to.deep.equal([]);
     });
 });
--- a/packages/core/src/lib/jobs/jobFixtures.test.ts
+++ b/packages/core/src/lib/jobs/jobFixtures.test.ts
@@ -66,7 +66,6 @@
         running: 0,
         versionOf: () => 1 as WeightVersion,
         speed: 1,
-        lastingSpeed: 1,
         ...changes,
     };
 }
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -9,7 +9,6 @@
     type EngineSeat,
     type Instant,
     type JobBoard,
-    longEvents,
     PaceBook,
     planMoves,
     type ProgressSnapshot,
@@ -45,8 +44,8 @@
 /** Milliseconds between looks for tasks whose time is over. */
 const expireEveryMs = 500;
 
-/** Events from which on a run leaves an engine that pauses: most samples have ended by then. */
-const leavingEvents = 15;
+/** Events from which on a run counts as long: most samples have ended by then, and the step waits for the others. */
+const longEvents = 15;
 
 /** Milliseconds between looks for runs that should go on elsewhere. */
 const moveEveryMs = 150;
@@ -125,7 +124,7 @@
         let room = this.seats().filter(seat => seat.target !== target)
             .reduce((sum, seat) => sum + Math.max(0, seat.slots - seat.running), 0);
         for (const [run, running] of this.stops) {
-            const isLong = run.progress.events >= leavingEvents;
+            const isLong = run.progress.events >= longEvents;
             const isConcerned = running.target === target && run.job.job.model === model;
             if (isConcerned && isLong && running.moved === undefined && room-- > 0) {
                 running.moved = "changing";
@@ -172,7 +171,6 @@
                 running: this.runningAt(entry.target),
                 versionOf: model => this.versions.versionOf(entry, model, now),
                 speed: this.paces.speedOf(entry.target, now),
-                lastingSpeed: this.paces.lastingSpeedOf(entry.target, now),
             }];
         });
     }
@@ -260,25 +258,20 @@
         }
         const now = this.clock.now();
         const seats = this.seats();
-        const rooms = seats.map(({ slots, running, ...seat }) => ({ ...seat, free: slots - running }));
+        const rooms = seats.map(({ target, slots, running, speed }) => ({ target, speed, free: slots - running }));
         const runs = [...this.stops].flatMap(([run, running]) =>
-            running.moved === undefined && !running.stop.signal.aborted
-                ? [{ run, ...running, isLong: run.progress.events >= longEvents }]
-                : []
-        ).sort((a, b) => b.run.progress.events - a.run.progress.events);
+            running.moved === undefined && !running.stop.signal.aborted ? [{ run, ...running }] : []
+        );
         const changing = new Set(
             runs.map(({ target }) => target).filter(target => this.versions.isChanging(target, now)),
         );
         const { silentMs, silentAtStartMs } = this.settings;
-        const speeds = {
-            speedOf: (target: TargetId) => this.paces.speedOf(target, now),
-            lastingSpeedOf: (target: TargetId) => this.paces.lastingSpeedOf(target, now),
-        };
+        const speedOf = (target: TargetId): number => this.paces.speedOf(target, now);
         for (
             const { run, target, reason } of planMoves(
                 runs,
                 rooms,
-                speeds,
+                speedOf,
                 changing,
                 { silentMs, silentAtStartMs },
                 now,
