Leave runs at an engine that is slow for a moment: smooth paces over 1.5 s

Cause: any engine is 2.5 times slower for about 600 ms now and then, and a third of them is 1.3 times slower for good.

--- a/packages/core/src/lib/jobs/MovePlan.test.ts
+++ b/packages/core/src/lib/jobs/MovePlan.test.ts
@@ -46,6 +46,24 @@
         expect(paces.speedOf(asId<TargetId>("slow"), 9000 as Instant)).to.equal(1);
     });
 
+    it("leaves runs at an engine that is slow for 600 ms, and moves them within 1.2 s when it stays slow", () => {
+        const weakGapMs = 1.3 * usualGapMs;
+        const slowedGapMs = 2.5 * weakGapMs;
+        const momentary = pacesFixture({ a: usualGapMs, b: usualGapMs, c: weakGapMs }, 4000);
+        for (let ms = 4000 + slowedGapMs; ms <= 4600; ms += slowedGapMs) {
+            momentary.note(asId<TargetId>("c"), slowedGapMs, ms as Instant);
+        }
+        const lasting = pacesFixture({ a: usualGapMs, b: usualGapMs, c: weakGapMs }, 4000);
+        for (let ms = 4000 + 3.5 * weakGapMs; ms <= 5200; ms += 3.5 * weakGapMs) {
+            lasting.note(asId<TargetId>("c"), 3.5 * weakGapMs, ms as Instant);
+        }
+        const run = runFixture("c", { heardAt: 5200 as Instant });
+        const movesWith = (paces: PaceBook, at: Instant): number =>
+            planMoves([run], [roomFixture("a", 1)], target => paces.speedOf(target, at), new Set(), limits, at).length;
+        expect(movesWith(momentary, 4600 as Instant)).to.equal(0);
+        expect(movesWith(lasting, 5200 as Instant)).to.equal(1);
+    });
+
     it("does not take a slow third of a second for a slow engine", () => {
         const paces = pacesFixture({ a: usualGapMs, b: usualGapMs, c: usualGapMs }, 2000);
         for (let ms = 2100; ms <= 2300; ms += 100) {
--- a/packages/core/src/lib/jobs/PaceBook.ts
+++ b/packages/core/src/lib/jobs/PaceBook.ts
@@ -12,8 +12,8 @@
     seenAt: Instant;
 }
 
-/** Milliseconds over which gaps are smoothed, so that a slow half-second of one engine does not change the picture. */
-const smoothingMs = 900;
+/** Milliseconds over which gaps are smoothed: an engine that is slow for 600 ms, as any is now and then, hardly shows. */
+const smoothingMs = 1500;
 
 /** Gaps after which an engine's pace is taken for known. */
 const leastSamples = 10;
