--- a/apps/cli/src/lib/commands/explain.test.ts
+++ b/apps/cli/src/lib/commands/explain.test.ts
@@ -31,4 +31,19 @@
         ]);
         expect(storyOf(readLogLines(log), "t9")).to.deep.equal([]);
     });
+
+    it("leaves out rests of targets that the story does not name, and shows a repeated belief once", () => {
+        const lines = [
+            `{"at":1000,"host":"a","event":"task-started","task":"t1","target":"e1"}`,
+            ...[1010, 1020, 1030].map(at => `{"at":${at},"host":"a","event":"target-resting","target":"e1"}`),
+            `{"at":1040,"host":"a","event":"target-resting","target":"e2"}`,
+            `{"at":2500,"host":"a","event":"target-resting","target":"e1"}`,
+        ];
+        const story = storyOf(readLogLines(lines.join("\n")), "t1");
+        expect(story.map(({ at, event, times }) => `${at} ${event} ${String(times)}`)).to.deep.equal([
+            "1000 task-started undefined",
+            "1010 target-resting 3",
+            "2500 target-resting undefined",
+        ]);
+    });
 });
--- a/apps/cli/src/lib/commands/explain.ts
+++ b/apps/cli/src/lib/commands/explain.ts
@@ -34,6 +34,9 @@
 /** Milliseconds around the first and last line of the id within which beliefs are shown. */
 const marginMs = 3000;
 
+/** Milliseconds within which a belief that is stated again is shown once. */
+const repeatMs = 1000;
+
 /** Fields that are shown in the head of a line. */
 const headFields: ReadonlySet<string> = new Set(["at", "host", "event"]);
 
@@ -69,10 +72,21 @@
     const hosts = new Set(named.map(({ host }) => host));
     const targets = new Set(named.flatMap(({ target }) => target ?? []));
     const context = lines.filter(line =>
-        beliefs.has(line.event) && line.at >= from && line.at <= until
-        && (hosts.has(line.host) || targets.has(line["target"] ?? "")) && !names(line, id)
+        beliefs.has(line.event) && line.at >= from && line.at <= until && !names(line, id)
+        && (line["target"] === undefined ? hosts.has(line.host) : targets.has(line["target"] ?? ""))
     );
-    return [...named, ...context].sort((a, b) => a.at - b.at);
+    return [...named, ...mergeRepeated(context)].sort((a, b) => a.at - b.at);
+}
+
+/** Shows a belief that a host states again and again within a second once, with the number of times. */
+function mergeRepeated(lines: readonly LogLine[]): readonly LogLine[] {
+    const merged = new Map<string, LogLine>();
+    for (const line of [...lines].sort((a, b) => a.at - b.at)) {
+        const key = `${line.host} ${line.event} ${String(line["target"])} ${Math.floor(line.at / repeatMs)}`;
+        const first = merged.get(key);
+        merged.set(key, first === undefined ? line : { ...first, times: Number(first["times"] ?? 1) + 1 });
+    }
+    return [...merged.values()];
 }
 
 /** Prints the story of `id` from log files, or from standard input. */
--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -99,19 +99,19 @@
         return this.isConductor && !this.isSure ? undefined : this.believed;
     }
 
-    /** Looks up who conducts, and claims when nobody does; resolves when it is known or could not be learnt. */
-    async lookUp(): Promise<void> {
+    /** Looks up who conducts, and claims when nobody does; false when the store did not answer. */
+    async lookUp(): Promise<boolean> {
         const found = await this.store.get(jobKeys.claim, "conductor");
         const item = found.toMaybe().extract();
         if (found.isLeft()) {
             await this.pause(lookupEveryMs);
-            return;
+            return false;
         }
         this.toldAt = this.clock.now();
         const record = item === undefined ? undefined : readRecord(item);
         if (record !== undefined && record.resigned === undefined && record.host !== this.options.self) {
             this.believe(record.host);
-            return;
+            return true;
         }
         this.believe(undefined);
         if (this.options.mayClaim()) {
@@ -120,6 +120,7 @@
         else {
             await this.pause(lookupEveryMs);
         }
+        return true;
     }
 
     /** Takes another host's word for who conducts, when the store cannot be asked. */
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -169,8 +169,13 @@
                 this.unheardSince = undefined;
             }
             else {
-                const [, hasHeardSeed] = await Promise.all([this.conductor.lookUp(), this.askSeeds()]);
-                this.unheardSince = hasHeardSeed ? undefined : this.unheardSince ?? this.clock.now();
+                const asking = this.askSeeds().then(hasHeardSeed => {
+                    this.unheardSince = hasHeardSeed ? undefined : this.unheardSince ?? this.clock.now();
+                });
+                // What seeds say matters only to a host that the store does not answer.
+                if (!await this.conductor.lookUp()) {
+                    await asking;
+                }
                 if (missed > 1) {
                     await sleepUntil(this.clock, after(this.clock.now(), roundMs));
                 }
