--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -54,10 +54,16 @@
 /** Renewals without an answer at once: one more than fit into the time limit of a call. */
 const mostOpenRenewals = 3;
 
-/** Milliseconds that a claim waits for the work of the host before; what comes later is taken all the same. */
+/**
+ * Milliseconds that a new conductor waits for the work of the host before, which answers within a few round trips if at
+ * all; what comes later is taken all the same.
+ */
 const takeOverGraceMs = 120;
 
-/** Milliseconds after an answer of the store for which another host's word of who conducts counts as older. */
+/**
+ * Milliseconds after an answer of the store for which another host's word of who conducts counts as older: as long as a host
+ * may wait for a conductor before it stops to name it.
+ */
 const storeTrustMs = 1500;
 
 /** Keeps this host's belief in who conducts, and its own claim. */
@@ -125,8 +131,8 @@
 
     /** Takes another host's word for who conducts, when the store cannot be asked. */
     takeWord(host: HostId | undefined): void {
-        const isOlder = this.clock.now() - this.toldAt < storeTrustMs;
-        if (host !== undefined && host !== this.options.self && !this.isConductor && !isOlder) {
+        const isOlderThanStore = this.clock.now() - this.toldAt < storeTrustMs;
+        if (host !== undefined && host !== this.options.self && !this.isConductor && !isOlderThanStore) {
             this.believe(host);
         }
     }
--- a/packages/rollout/src/lib/RolloutSettings.ts
+++ b/packages/rollout/src/lib/RolloutSettings.ts
@@ -2,8 +2,12 @@
 
 /** What can be tuned. */
 export interface RolloutSettings {
-    /** Lifetime of the conductor's claim without renewal; the longest gap after which another host takes over. */
+    /**
+     * Lifetime of the conductor's claim without renewal, after which another host takes over: four renewals, of which some
+     * may get no answer.
+     */
     readonly claimTtlMs: number;
+    /** Time between renewals; above the 220 ms that a store slowed fifty times takes for an answer. */
     readonly claimRenewMs: number;
     /**
      * Time after a claim that was not handed over before the first order: what the platform counts as taking turns,
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -46,7 +46,7 @@
 /** Milliseconds that a host has to say that it still conducts: far above a round trip between zones. */
 const isThereMs = 250;
 
-/** Hosts that are asked who conducts when this host's own claim may have lapsed. */
+/** Followers that are asked who conducts when this host's own claim may have lapsed, in case some are cut off as well. */
 const mostAsked = 4;
 
 /** Milliseconds between rounds in which nothing could be learnt. */
