--- a/packages/rollout/src/lib/ConductorTask.test.ts
+++ b/packages/rollout/src/lib/ConductorTask.test.ts
@@ -69,7 +69,9 @@
     const options = { self, settings: defaultRolloutSettings, claimDelayMs: () => 0, mayClaim: () => true, takeOver };
     const task = new ConductorTask(options, store, clock, silentJournal);
     let isClaimed = false;
-    task.events.on("claimed", () => isClaimed = true);
+    task.events.on("claimed", () => {
+        isClaimed = true;
+    });
     return { store, task, claimed: () => isClaimed };
 }
 
