Score completed samples by reward calls, as a stage of a task's life

Now a task whose text is complete frees its engine's slot and waits in the scheduler (OpenJob.scoring) for its score. RewardQueue decides which call goes next, where, and what follows; RewardRunner sends it. Complete texts are copied to the standbys, handed over, and kept for a later job like partial ones. A result is listed only with the signature of its own call.

Ruled out: sending the calls through CallForwarder with its retries. It hides how many answers had status 500, by which alone a task may fail, and it has no limit a target, so a burst of 100 texts would take every slot of the service from its callers.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,6 +32,7 @@
 export * from "./lib/jobs/JobScheduler.js";
 export * from "./lib/jobs/MovePlan.js";
 export * from "./lib/jobs/PaceTracker.js";
+export * from "./lib/jobs/RewardQueue.js";
 export * from "./lib/jobs/TaskProgress.js";
 export * from "./lib/keyvalue/CircuitBreaker.js";
 export * from "./lib/keyvalue/keyValueLoad.js";
--- a/packages/core/src/lib/ids.ts
+++ b/packages/core/src/lib/ids.ts
@@ -84,3 +84,6 @@
 
 /** Identifies a route of the configuration. */
 export type RouteId = Brand<string, "RouteId">;
+
+/** Id of a request to a scoring service. */
+export type RewardCallId = Brand<string, "RewardCallId">;
--- a/packages/core/src/lib/jobs/Job.ts
+++ b/packages/core/src/lib/jobs/Job.ts
@@ -1,6 +1,15 @@
 /** Jobs as trainers submit them, their results as callers list them, and the keys that they are stored under. */
 
-import { type GroupId, type Instant, type JobId, type TaskId, type WeightVersion } from "../ids.js";
+import { type GroupId, type Instant, type JobId, type RewardCallId, type TaskId, type WeightVersion } from "../ids.js";
+
+/** A request to a scoring service, sent once the text of its task is complete. It may be repeated. */
+export interface RewardCall {
+    readonly id: RewardCallId;
+    /** Virtual host and path that select the route to the scoring service. */
+    readonly host: string;
+    readonly path: string;
+    readonly body: Uint8Array;
+}
 
 /** One completion that a trainer requests. */
 export interface Task {
@@ -14,6 +23,8 @@
     readonly tokens: number;
     /** The trainer's estimate of the output tokens; accurate at the median, far off in the tail. */
     readonly expectedTokens: number | undefined;
+    /** Set if the task's result must carry a score. */
+    readonly reward: RewardCall | undefined;
 }
 
 /** A batch of tasks, accepted as a whole. */
@@ -38,6 +49,8 @@
     readonly state: "completed" | "failed";
     readonly output: string;
     readonly versions: readonly WeightVersion[];
+    /** The scoring service's score of `output`; set if the task has a reward call and was completed. */
+    readonly score: string | undefined;
 }
 
 /** A page of a job's results, with the total number of the job's tasks. */
--- a/packages/core/src/lib/jobs/JobLog.test.ts
+++ b/packages/core/src/lib/jobs/JobLog.test.ts
@@ -6,7 +6,7 @@
 import { JobLog, pageOf } from "./JobLog.js";
 
 function resultFixture(name: string, output = name): TaskResult {
-    return { task: asId<TaskId>(name), state: "completed", output, versions: [] };
+    return { task: asId<TaskId>(name), state: "completed", output, versions: [], score: undefined };
 }
 
 describe("JobLog", () => {
--- a/packages/core/src/lib/jobs/JobScheduler.test.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.test.ts
@@ -2,24 +2,34 @@
 
 import { expect } from "chai";
 import { asId, type GroupId, type Instant, type JobId, type WeightVersion } from "../ids.js";
-import { engineFixture, jobFixture, schedulerFixture, taskFixture, termsFixture } from "./jobFixtures.test.js";
+import {
+    engineFixture,
+    jobFixture,
+    rewardFixture,
+    schedulerFixture,
+    taskFixture,
+    termsFixture,
+} from "./jobFixtures.test.js";
 import { JobLog } from "./JobLog.js";
 import { type EngineCapacity, type TaskRun } from "./JobScheduler.js";
 
 const now = 0 as Instant;
 const one = 1 as WeightVersion;
+const reward = rewardFixture();
 
 function textOf(events: number, versions: readonly WeightVersion[] = [one]): {
     textId: number;
     pieces: string[];
     versions: readonly WeightVersion[];
     lastEventId: number;
+    isComplete: boolean;
 } {
     return {
         textId: 77,
         pieces: Array.from({ length: events }, (unused, nth) => `e${nth}`),
         versions,
         lastEventId: events,
+        isComplete: false,
     };
 }
 
@@ -156,6 +166,7 @@
             state: "completed" as const,
             output: "",
             versions: [],
+            score: undefined,
         }));
         open.log.adopt({ number: 0, results });
         expect(scheduler.dropFinished(open)).to.deep.equal([run]);
@@ -170,4 +181,75 @@
         scheduler.add(jobFixture([taskFixture(1)], soon), termsFixture({ dueAt: 8000 as Instant }), new JobLog());
         expect(scheduler.next([engineFixture("a")], now)?.run.job.job.id).to.equal("soon");
     });
+
+    it("lets a task with a reward call wait for its score, and frees its engine at once", () => {
+        const scheduler = schedulerFixture();
+        const open = scheduler.add(
+            jobFixture([taskFixture(0, { reward }), taskFixture(1)]),
+            termsFixture(),
+            new JobLog(),
+        );
+        const [scored, plain] = startAll(scheduler, [engineFixture("a")]);
+        scored!.progress.append({ id: 1, data: "x" }, one);
+        expect(scheduler.end(scored!, "completed", now)).to.equal(undefined);
+        expect(scheduler.end(plain!, "completed", now)).to.deep.include({ state: "completed", score: undefined });
+        expect([open.running.size, open.waiting.length, open.scoring.size]).to.deep.equal([0, 0, 1]);
+        expect(scheduler.endScoring(scored!, "s1")).to.deep.include({ state: "completed", output: "x", score: "s1" });
+        expect(scheduler.endScoring(scored!, "s2")).to.equal(undefined);
+    });
+
+    it("fails a task whose reward call is given up, and gives up waiting for scores once the job has expired", () => {
+        const scheduler = schedulerFixture();
+        scheduler.add(
+            jobFixture([taskFixture(0, { reward }), taskFixture(1, { reward })]),
+            termsFixture(),
+            new JobLog(),
+        );
+        const runs = startAll(scheduler, [engineFixture("a")]);
+        runs.forEach(run => scheduler.end(run, "completed", now));
+        expect(scheduler.endScoring(runs[0]!, undefined)).to.deep.include({ state: "failed", output: "" });
+        const expired = scheduler.expire(40_000 as Instant).map(({ result }) => result);
+        expect(expired.map(({ task, state }) => [task, state])).to.deep.equal([[runs[1]!.task.id, "failed"]]);
+        expect(scheduler.endScoring(runs[1]!, "s")).to.equal(undefined);
+    });
+
+    it("scores a complete text again, without a run, when a later job submits its task", () => {
+        const scheduler = schedulerFixture();
+        const first = jobFixture([taskFixture(0, { reward })]);
+        scheduler.add(first, termsFixture(), new JobLog());
+        const { run } = scheduler.next([engineFixture("a")], now)!;
+        run.progress.append({ id: 1, data: "x" }, one);
+        scheduler.end(run, "completed", now);
+        expect(scheduler.remove(first.id)).to.deep.equal([run]);
+        const later = { id: asId<JobId>("later") };
+        const open = scheduler.add(jobFixture([taskFixture(0, { reward })], later), termsFixture(), new JobLog());
+        expect([open.waiting.length, open.scoring.size]).to.deep.equal([0, 1]);
+        expect(scheduler.endScoring([...open.scoring][0]!, "s")).to.deep.include({ output: "x", score: "s" });
+    });
+
+    it("takes over another host's complete text for a waiting task, and stops a run for it", () => {
+        const scheduler = schedulerFixture();
+        const tasks = [taskFixture(0, { reward }), taskFixture(1, { reward })];
+        const open = scheduler.add(jobFixture(tasks), termsFixture(), new JobLog());
+        const { run } = scheduler.next([engineFixture("a", { slots: 1 })], now)!;
+        const waiting = open.waiting[0]!;
+        const copy = { ...textOf(2), isComplete: true };
+        expect(scheduler.adoptText({ task: waiting.task.id, text: copy })).to.equal(undefined);
+        expect([...open.scoring]).to.deep.equal([waiting]);
+        expect(scheduler.adoptText({ task: run.task.id, text: copy })).to.equal(run);
+        const tooOld = { ...copy, versions: [0 as WeightVersion] };
+        expect(scheduler.adoptText({ task: run.task.id, text: tooOld })).to.equal(undefined);
+        expect(scheduler.adoptText({ task: waiting.task.id, text: textOf(30) })).to.equal(undefined);
+        expect(waiting.progress.eventCount).to.equal(2);
+    });
+
+    it("stops the reward calls of tasks for which another host has listed results", () => {
+        const scheduler = schedulerFixture();
+        const open = scheduler.add(jobFixture([taskFixture(0, { reward })]), termsFixture(), new JobLog());
+        const { run } = scheduler.next([engineFixture("a")], now)!;
+        scheduler.end(run, "completed", now);
+        open.log.add({ task: run.task.id, state: "completed", output: "", versions: [], score: "s" });
+        expect(scheduler.dropFinished(open)).to.deep.equal([run]);
+        expect(open.scoring.size).to.equal(0);
+    });
 });
--- a/packages/core/src/lib/jobs/JobScheduler.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.ts
@@ -3,7 +3,8 @@
  * tasks arrive at once, the trainer waits for whole groups and only for some of them, lengths are known roughly, and
  * engines differ in weight version and speed. The job that is due first goes first. Within a job, the longest of the
  * groups that the trainer waits for go first, and the surplus groups, which are the longest of all, go last. A task is
- * placed at the engine that already holds its group's prompt unless that engine is clearly busier than another.
+ * placed at the engine that already holds its group's prompt unless that engine is clearly busier than another. A task
+ * whose text is complete frees its slot; if it has a reward call, it then waits for its score.
  */
 
 import {
@@ -19,7 +20,7 @@
 import { type TaskText } from "../ports/PeerRequests.js";
 import { type Job, type Task, type TaskResult } from "./Job.js";
 import { type JobLog } from "./JobLog.js";
-import { TaskProgress, type TextId } from "./TaskProgress.js";
+import { type ProgressSnapshot, TaskProgress, type TextId } from "./TaskProgress.js";
 
 /** The settings that a job's tasks take from its route. */
 export interface JobTerms {
@@ -69,6 +70,8 @@
     readonly log: JobLog;
     readonly waiting: TaskRun[];
     readonly running: Set<TaskRun>;
+    /** Tasks whose text is complete and whose score is missing, in the order in which their texts were completed. */
+    readonly scoring: Set<TaskRun>;
 }
 
 /** A task to start and its engine. */
@@ -118,21 +121,29 @@
         if (known !== undefined) {
             return known;
         }
-        const open: OpenJob = { job, terms, log, waiting: [], running: new Set() };
+        const open: OpenJob = { job, terms, log, waiting: [], running: new Set(), scoring: new Set() };
         for (const task of orderTasks(job)) {
             if (log.hasResult(task.id)) {
                 continue;
             }
-            const progress = this.takeRetained(task.id, job.minVersion, terms.singleVersion);
-            open.waiting.push({
+            const run: TaskRun = {
                 task,
                 job: open,
-                progress,
+                progress: this.takeRetained(task.id, job.minVersion, terms.singleVersion),
                 failures: 0,
                 notBefore: 0 as Instant,
                 target: undefined,
                 lastFailedTarget: undefined,
-            });
+            };
+            if (!run.progress.isComplete) {
+                open.waiting.push(run);
+            }
+            else if (task.reward !== undefined) {
+                open.scoring.add(run);
+            }
+            else {
+                log.add(this.finish(run, "completed", undefined));
+            }
         }
         this.jobs.set(job.id, open);
         return open;
@@ -140,7 +151,7 @@
 
     /**
      * Closes a job. The text of its unfinished tasks is kept in case a later job submits them again. Returns the runs
-     * to stop.
+     * and reward calls to stop.
      */
     remove(id: JobId): readonly TaskRun[] {
         const open = this.jobs.get(id);
@@ -148,14 +159,14 @@
             return [];
         }
         this.jobs.delete(id);
-        [...open.waiting, ...open.running].forEach(run => this.retainText(run.task.id, run.progress));
+        unfinished(open).forEach(run => this.retainText(run.task.id, run.progress));
         open.job.tasks.forEach(task => this.groupTargets.delete(task.group));
-        return [...open.running];
+        return [...open.running, ...open.scoring];
     }
 
     /** The texts of unfinished tasks: first those of open jobs, then those kept for a later job. */
     get texts(): readonly { readonly task: TaskId; readonly progress: TaskProgress; }[] {
-        const runs = this.open.flatMap(open => [...open.waiting, ...open.running]);
+        const runs = this.open.flatMap(unfinished);
         return [
             ...runs.map(run => ({ task: run.task.id, progress: run.progress })),
             ...[...this.retainedTexts].map(([task, progress]) => ({ task, progress })),
@@ -163,44 +174,56 @@
     }
 
     /**
-     * Adopts another host's copy of a text. A waiting task takes it over if it is longer than its own. A running task
-     * with a clearly shorter text is returned so that the caller restarts it. A text of a task that belongs to no open
-     * job is kept for a later job that submits the task.
+     * Adopts another host's copy of a text. A waiting task takes it over if it is longer than its own, and waits for its
+     * score if it is complete. A running task is returned if its own text is clearly shorter, or if the copy is
+     * complete, so that the caller restarts it. A text of a task that belongs to no open job is kept for a later job
+     * that submits the task.
      */
     adoptText({ task, text }: TaskText): TaskRun | undefined {
-        const open = this.open.find(({ waiting, running }) =>
-            [...waiting, ...running].some(run => run.task.id === task)
-        );
-        if (open === undefined) {
+        const run = this.open.flatMap(unfinished).find(({ task: { id } }) => id === task);
+        if (run === undefined) {
             const progress = this.retainedTexts.get(task) ?? new TaskProgress(this.newTextId());
-            if (progress.eventCount < text.pieces.length) {
+            if (isLonger(text, progress)) {
                 progress.replace(text, this.newTextId());
             }
             this.retainText(task, progress);
             return undefined;
         }
-        const waiting = open.waiting.find(run => run.task.id === task);
-        if (waiting !== undefined) {
-            if (waiting.progress.eventCount < text.pieces.length) {
-                waiting.progress.replace(text, this.newTextId());
+        const { job: { job, terms, running, waiting } } = run;
+        if (running.has(run)) {
+            const isClearlyLonger = text.isComplete
+                || text.pieces.length > run.progress.eventCount + minInheritedEvents;
+            return isClearlyLonger && isTextUsable(text, job, terms) ? run : undefined;
+        }
+        const canTake = !text.isComplete || run.task.reward !== undefined && isTextUsable(text, job, terms);
+        if (waiting.includes(run) && canTake && isLonger(text, run.progress)) {
+            run.progress.replace(text, this.newTextId());
+            if (text.isComplete) {
+                waiting.splice(waiting.indexOf(run), 1);
+                this.complete(run);
             }
-            return undefined;
         }
-        const running = [...open.running].find(run => run.task.id === task)!;
-        const isClearlyLonger = text.pieces.length > running.progress.eventCount + minInheritedEvents;
-        return isClearlyLonger && text.versions.every(version => version >= open.job.minVersion) ? running : undefined;
+        return undefined;
     }
 
-    /** Drops the tasks that have a result in the log. Returns the runs to stop. */
+    /** Drops the tasks that have a result in the log. Returns the runs and reward calls to stop. */
     dropFinished(open: OpenJob): readonly TaskRun[] {
         const isFinished = (run: TaskRun): boolean => open.log.hasResult(run.task.id);
         const waiting = open.waiting.filter(run => !isFinished(run));
         open.waiting.splice(0, open.waiting.length, ...waiting);
-        const stopped = [...open.running].filter(isFinished);
-        stopped.forEach(run => open.running.delete(run));
+        const stopped = [...open.running, ...open.scoring].filter(isFinished);
+        stopped.forEach(run => open.running.delete(run) || open.scoring.delete(run));
         return stopped;
     }
 
+    /** Ends the reward call of a task with its score, or without one, and returns the task's result. */
+    endScoring(run: TaskRun, score: string | undefined): TaskResult | undefined {
+        if (!run.job.scoring.delete(run)) {
+            return undefined;
+        }
+        return this.finish(run, score === undefined ? "failed" : "completed", score);
+    }
+
     /** The next task to start at `now`, or undefined if none can start. It counts as running from this call on. */
     next(engines: readonly EngineCapacity[], now: Instant): TaskAssignment | undefined {
         const jobs = [...this.jobs.values()].sort((a, b) => a.terms.dueAt - b.terms.dueAt);
@@ -227,18 +250,20 @@
     }
 
     /**
-     * Records the end of a run. Returns the task's result if there is one, otherwise the task waits for its next run.
+     * Records the end of a run. Returns the task's result if there is one, otherwise the task waits for its next run, or
+     * for its score.
      */
     end(run: TaskRun, outcome: RunEnd, now: Instant): TaskResult | undefined {
         run.job.running.delete(run);
         const lastTarget = run.target;
         run.target = undefined;
         if (outcome === "completed") {
-            return this.finish(run, "completed");
+            run.progress.markComplete();
+            return this.complete(run);
         }
         run.failures += outcome === "failed" ? 1 : 0;
         if (outcome === "impossible" || run.failures >= run.job.terms.maxAttempts) {
-            return this.finish(run, "failed");
+            return this.finish(run, "failed", undefined);
         }
         run.lastFailedTarget = outcome === "not-run" ? run.lastFailedTarget : lastTarget;
         run.notBefore = after(now, retryDelayMs[outcome]);
@@ -246,15 +271,28 @@
         return undefined;
     }
 
-    /** Gives up the waiting tasks of jobs that have expired, and returns their results. */
+    /** Gives up the tasks of expired jobs that wait for a run or for their score, and returns their results. */
     expire(now: Instant): readonly { readonly open: OpenJob; readonly result: TaskResult; }[] {
         return this.open.filter(open => open.terms.expiresAt <= now).flatMap(open => {
-            const results = open.waiting.map(run => ({ open, result: resultOf(run, "failed") }));
+            const results = [...open.waiting, ...open.scoring].map(run => ({
+                open,
+                result: resultOf(run, "failed", undefined),
+            }));
             open.waiting.length = 0;
+            open.scoring.clear();
             return results;
         });
     }
 
+    /** Returns the result of a task with a complete text, or lets it wait for its score. */
+    private complete(run: TaskRun): TaskResult | undefined {
+        if (run.task.reward === undefined) {
+            return this.finish(run, "completed", undefined);
+        }
+        run.job.scoring.add(run);
+        return undefined;
+    }
+
     private start(run: TaskRun, engine: EngineCapacity): void {
         const { terms, job, waiting, running } = run.job;
         waiting.splice(waiting.indexOf(run), 1);
@@ -279,9 +317,9 @@
             : leastLoaded;
     }
 
-    private finish(run: TaskRun, state: TaskResult["state"]): TaskResult {
+    private finish(run: TaskRun, state: TaskResult["state"], score: string | undefined): TaskResult {
         this.retainedTexts.delete(run.task.id);
-        return resultOf(run, state);
+        return resultOf(run, state, score);
     }
 
     private retainText(task: TaskId, progress: TaskProgress): void {
@@ -304,10 +342,23 @@
     }
 }
 
-function resultOf({ task, progress }: TaskRun, state: TaskResult["state"]): TaskResult {
+function resultOf({ task, progress }: TaskRun, state: TaskResult["state"], score: string | undefined): TaskResult {
     return state === "completed"
-        ? { task: task.id, state, output: progress.output, versions: progress.versions }
-        : { task: task.id, state, output: "", versions: [] };
+        ? { task: task.id, state, output: progress.output, versions: progress.versions, score }
+        : { task: task.id, state, output: "", versions: [], score: undefined };
+}
+
+/** The tasks of a job without a result. */
+function unfinished({ waiting, running, scoring }: OpenJob): readonly TaskRun[] {
+    return [...waiting, ...running, ...scoring];
+}
+
+function isLonger(text: ProgressSnapshot, progress: TaskProgress): boolean {
+    return progress.eventCount < text.pieces.length || text.isComplete && !progress.isComplete;
+}
+
+function isTextUsable({ versions }: ProgressSnapshot, { minVersion }: Job, { singleVersion }: JobTerms): boolean {
+    return versions.every(version => version >= minVersion) && (!singleVersion || versions.length <= 1);
 }
 
 function canServe(engine: EngineCapacity, { job, terms }: OpenJob): boolean {
--- a/packages/core/src/lib/jobs/TaskProgress.ts
+++ b/packages/core/src/lib/jobs/TaskProgress.ts
@@ -26,6 +26,8 @@
     readonly pieces: readonly string[];
     readonly versions: readonly WeightVersion[];
     readonly lastEventId: number;
+    /** Whether the text ends with the last of `pieces`. */
+    readonly isComplete: boolean;
 }
 
 /** The text of one task. */
@@ -33,6 +35,7 @@
     private readonly pieces: string[] = [];
     private readonly versionSet = new Set<WeightVersion>();
     private lastId: number | undefined;
+    private hasEnded = false;
 
     constructor(private id: TextId) {}
 
@@ -45,6 +48,16 @@
         return this.lastId;
     }
 
+    /** True once the engine has sent the whole text. */
+    get isComplete(): boolean {
+        return this.hasEnded;
+    }
+
+    /** Records that the last event received ends the text. */
+    markComplete(): void {
+        this.hasEnded = true;
+    }
+
     /** Number of events received. */
     get eventCount(): number {
         return this.pieces.length;
@@ -58,19 +71,27 @@
         return this.pieces.join("\n");
     }
 
-    /** The text from its event number `from` on, counted from 0, or undefined if it has no more events than that. */
+    /**
+     * The text from its event number `from` on, counted from 0, or undefined if it is incomplete and has no more events
+     * than that.
+     */
     snapshot(from: number): ProgressSnapshot | undefined {
-        return this.lastId === undefined || this.pieces.length <= from
-            ? undefined
-            : { textId: this.id, pieces: this.pieces.slice(from), versions: this.versions, lastEventId: this.lastId };
+        return this.lastId === undefined || this.pieces.length <= from && !this.hasEnded ? undefined : {
+            textId: this.id,
+            pieces: this.pieces.slice(from),
+            versions: this.versions,
+            lastEventId: this.lastId,
+            isComplete: this.hasEnded,
+        };
     }
 
     /** Replaces the text by a complete copy of another one, under a new id. */
-    replace({ pieces, versions, lastEventId }: ProgressSnapshot, textId: TextId): void {
+    replace({ pieces, versions, lastEventId, isComplete }: ProgressSnapshot, textId: TextId): void {
         this.reset(textId);
         this.pieces.push(...pieces);
         versions.forEach(version => this.versionSet.add(version));
         this.lastId = lastEventId;
+        this.hasEnded = isComplete;
     }
 
     /**
@@ -103,5 +124,6 @@
         this.pieces.length = 0;
         this.versionSet.clear();
         this.lastId = undefined;
+        this.hasEnded = false;
     }
 }
--- a/packages/core/src/lib/jobs/jobFixtures.test.ts
+++ b/packages/core/src/lib/jobs/jobFixtures.test.ts
@@ -5,12 +5,13 @@
     type GroupId,
     type Instant,
     type JobId,
+    type RewardCallId,
     type ServiceId,
     type TargetId,
     type TaskId,
     type WeightVersion,
 } from "../ids.js";
-import { type Job, type Task } from "./Job.js";
+import { type Job, type RewardCall, type Task } from "./Job.js";
 import { type EngineCapacity, JobScheduler, type JobTerms } from "./JobScheduler.js";
 
 export function schedulerFixture(): JobScheduler {
@@ -27,10 +28,15 @@
         body: new Uint8Array(),
         tokens: 100,
         expectedTokens: 50,
+        reward: undefined,
         ...changes,
     };
 }
 
+export function rewardFixture(nth = 0): RewardCall {
+    return { id: asId<RewardCallId>(`call-${nth}`), host: "h", path: "/s/", body: new Uint8Array() };
+}
+
 export function jobFixture(tasks: readonly Task[], changes: Partial<Job> = {}): Job {
     return {
         id: asId<JobId>("job"),
--- a/packages/core/src/lib/ports/RolloutTargets.ts
+++ b/packages/core/src/lib/ports/RolloutTargets.ts
@@ -74,6 +74,8 @@
 /** The head of a target's response; `headers` has alternating names and values. */
 export interface ResponseHead {
     readonly status: number;
+    /** The target's signature of the response, or undefined if it sent none. */
+    readonly signature: string | undefined;
     readonly headers: readonly string[];
 }
 
@@ -105,6 +107,8 @@
             readonly shouldUseNewConnection: boolean;
             readonly streamHandler: StreamHandler | undefined;
             readonly resumeAfter?: string;
+            /** Upper limit of a response that is read into memory, in bytes. */
+            readonly maxBodyBytes?: number;
         },
         signal: AbortSignal,
     ): Promise<ForwardOutcome>;
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -26,6 +26,7 @@
 import { type HostView } from "./HostView.js";
 import { type JobRegistry } from "./JobRegistry.js";
 import { type Journal } from "./Journal.js";
+import { type RewardRunner } from "./RewardRunner.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
 import { type VersionTask } from "./VersionTask.js";
 
@@ -87,6 +88,7 @@
         private readonly registry: JobRegistry,
         private readonly view: HostView,
         private readonly versions: VersionTask,
+        private readonly rewards: RewardRunner,
         private readonly engines: RolloutEngines,
         private readonly clock: Clock,
         private readonly journal: Journal,
@@ -239,8 +241,7 @@
             if (running.inherited !== undefined) {
                 run.progress.replace(running.inherited, this.scheduler.newTextId());
             }
-            this.scheduler.end(run, "broken", this.clock.now());
-            this.dispatch();
+            this.finish(run, running.inherited?.isComplete === true ? "completed" : "broken");
             return;
         }
         if (stop.signal.aborted && running.moved === undefined) {
@@ -317,14 +318,17 @@
             this.backoff.recordRefusal(entry, now);
             this.versions.recordStillChanging(entry, run.job.job.model, after(now, stillChangingDelayMs));
         }
-        const result = this.scheduler.end(
-            run,
-            end.kind === "cancelled" || isTooOld ? "broken" : runEnds[end.kind],
-            now,
-        );
+        this.finish(run, end.kind === "cancelled" || isTooOld ? "broken" : runEnds[end.kind]);
+    }
+
+    private finish(run: TaskRun, end: RunEnd): void {
+        const result = this.scheduler.end(run, end, this.clock.now());
         if (result !== undefined) {
             this.registry.addResult(run.job, result);
         }
+        if (run.job.scoring.has(run)) {
+            this.rewards.dispatch();
+        }
         this.dispatch();
     }
 
--- a/packages/rollout/src/lib/JobStore.test.ts
+++ b/packages/rollout/src/lib/JobStore.test.ts
@@ -41,6 +41,7 @@
             body: Buffer.alloc(bodyBytes, 7),
             tokens: 1,
             expectedTokens: undefined,
+            reward: undefined,
         }],
     };
 }
@@ -121,6 +122,7 @@
                         state: "completed",
                         output: `by ${writer}`,
                         versions: [],
+                        score: undefined,
                     });
                     const chunk = log.chunkToWrite();
                     if (chunk !== undefined) {
--- a/packages/rollout/src/lib/ResultWriter.ts
+++ b/packages/rollout/src/lib/ResultWriter.ts
@@ -78,7 +78,7 @@
     }
 
     private endWaitIfDue(open: OpenJob): void {
-        const isLast = open.waiting.length + open.running.size === 0;
+        const isLast = open.waiting.length + open.running.size + open.scoring.size === 0;
         const isDue = Date.now() > open.terms.dueAt - dueSoonMs;
         if (isLast || isDue || hasAwaitedGroups(open)) {
             this.gathering.get(open.job.id)?.abort();
--- /dev/null
+++ b/packages/rollout/src/lib/RewardRunner.test.ts
@@ -0,0 +1,268 @@
+/** Tests of reward calls from a completed text to its listed result: stop, takeover, faults and late answers. */
+
+import { createMonotonicClock } from "@tamarackpath/adapters";
+import {
+    after,
+    asId,
+    type CallTargets,
+    type ConfigRevision,
+    type ForwardOutcome,
+    type GroupId,
+    type Incarnation,
+    type Instant,
+    type Job,
+    type JobId,
+    JobLog,
+    JobScheduler,
+    type RewardCallId,
+    type RouteId,
+    type ServiceId,
+    sleepUntil,
+    type TargetId,
+    type TaskId,
+    type TaskResult,
+    type TaskRun,
+    type WeightVersion,
+    type ZoneId,
+} from "@tamarackpath/core";
+import { expect } from "chai";
+import Emittery from "emittery";
+import { HostView } from "./HostView.js";
+import { type JobRegistry, type JobRegistryEvents } from "./JobRegistry.js";
+import { noopJournal } from "./Journal.js";
+import { RewardRunner } from "./RewardRunner.js";
+
+const clock = createMonotonicClock();
+const engines = asId<ServiceId>("engines");
+const scorers = asId<ServiceId>("scorers");
+
+interface SentCall {
+    readonly id: string;
+    readonly target: TargetId;
+    readonly isOnNewConnection: boolean;
+    readonly signal: AbortSignal;
+    readonly answer: (outcome: ForwardOutcome) => void;
+}
+
+interface Fixture {
+    readonly scheduler: JobScheduler;
+    readonly rewards: RewardRunner;
+    readonly events: Emittery<JobRegistryEvents>;
+    readonly runs: readonly TaskRun[];
+    readonly sent: SentCall[];
+    readonly results: TaskResult[];
+}
+
+function answered(status: number, signature?: string): ForwardOutcome {
+    return { kind: "answered", head: { status, signature, headers: [] }, body: new Uint8Array() };
+}
+
+function jobFixture(tasks: number): Job {
+    return {
+        id: asId<JobId>("j"),
+        host: "h",
+        path: "/p/",
+        submittedAt: 0 as Instant,
+        step: 0,
+        model: "m",
+        minVersion: 1 as WeightVersion,
+        targetGroups: 1,
+        tasks: Array.from({ length: tasks }, (unused, nth) => ({
+            id: asId<TaskId>(`t${nth}`),
+            group: asId<GroupId>("g"),
+            path: "/p/",
+            headers: {},
+            body: new Uint8Array(),
+            tokens: 1,
+            expectedTokens: undefined,
+            reward: { id: asId<RewardCallId>(`r${nth}`), host: "h", path: "/s/x", body: new Uint8Array([1]) },
+        })),
+    };
+}
+
+/** A view with one route to scorers `a` and `b`. */
+function viewFixture(): HostView {
+    const view = new HostView(clock, noopJournal);
+    const route = {
+        id: asId<RouteId>("s"),
+        host: "h",
+        prefix: "/s/",
+        kind: "idempotent" as const,
+        services: [{ service: scorers, weight: 1 }],
+        timeoutMs: 250,
+        targetLatencyMs: 100,
+        priority: 0,
+        maxAttempts: 2,
+        resumable: false,
+        taskTtlMs: 1000,
+        jobTargetMs: 1000,
+        singleVersion: false,
+    };
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    const config = { revision: 1 as ConfigRevision, routes: [route], services: [], limits };
+    view.applyOperator({ config, versions: [], retiring: [] }, "store");
+    view.applyTargets(
+        ["a", "b"].map(name => ({
+            target: asId<TargetId>(name),
+            service: scorers,
+            address: "10.0.0.1:80",
+            zone: asId<ZoneId>("z"),
+            slots: 2,
+            leaving: false,
+            incarnation: 1 as Incarnation,
+            models: [],
+        })),
+        0,
+    );
+    return view;
+}
+
+/** A host whose `tasks` texts are complete. */
+function rewardFixture(tasks = 1): Fixture {
+    const scheduler = new JobScheduler(() => 1);
+    const terms = {
+        service: engines,
+        maxAttempts: 1,
+        priority: 1,
+        singleVersion: false,
+        expiresAt: Infinity as Instant,
+        dueAt: 0 as Instant,
+    };
+    const open = scheduler.add(jobFixture(tasks), terms, new JobLog());
+    const engine = {
+        target: asId<TargetId>("e"),
+        service: engines,
+        slots: tasks,
+        running: 0,
+        versionOf: () => 1 as WeightVersion,
+        speed: 1,
+    };
+    const runs = open.job.tasks.map(() => scheduler.next([engine], 0 as Instant)!.run);
+    runs.forEach(run => {
+        run.progress.append({ id: 1, data: "text" }, 1 as WeightVersion);
+        scheduler.end(run, "completed", 0 as Instant);
+    });
+    const results: TaskResult[] = [];
+    const events = new Emittery<JobRegistryEvents>();
+    const registry = { events, addResult: (unused: unknown, result: TaskResult) => results.push(result) };
+    const sent: SentCall[] = [];
+    const targets: CallTargets = {
+        send: (target, call, { shouldUseNewConnection }, signal) =>
+            new Promise(answer => {
+                signal.addEventListener("abort", () => answer({ kind: "cancelled" }));
+                sent.push({
+                    id: call.id,
+                    target: target.target,
+                    isOnNewConnection: shouldUseNewConnection,
+                    signal,
+                    answer,
+                });
+            }),
+    };
+    const rewards = new RewardRunner(
+        asId<ZoneId>("z"),
+        scheduler,
+        registry as unknown as JobRegistry,
+        viewFixture(),
+        targets,
+        () => 0.5,
+        clock,
+        noopJournal,
+    );
+    return { scheduler, rewards, events, runs, sent, results };
+}
+
+function pause(ms: number): Promise<void> {
+    return sleepUntil(clock, after(clock.now(), ms));
+}
+
+describe("RewardRunner", () => {
+    it("lists a task's result with the signature of its own call's answer", async () => {
+        const { rewards, sent, results } = rewardFixture(2);
+        rewards.activate();
+        expect(sent.map(({ id }) => id)).to.deep.equal(["r0", "r1"]);
+        sent[1]!.answer(answered(200, "score-1"));
+        sent[0]!.answer(answered(201, "score-0"));
+        await pause(5);
+        expect(results.map(({ task, state, output, score }) => [task, state, output, score])).to.deep.equal([
+            ["t1", "completed", "text", "score-1"],
+            ["t0", "completed", "text", "score-0"],
+        ]);
+    });
+
+    it("sends no call before its host conducts, and stops calls when it does not conduct any more", async () => {
+        const { rewards, sent, results } = rewardFixture();
+        rewards.dispatch();
+        expect(sent).to.deep.equal([]);
+        rewards.activate();
+        rewards.deactivate();
+        await pause(60);
+        expect(sent.map(({ signal }) => signal.aborted)).to.deep.equal([true]);
+        expect(results).to.deep.equal([]);
+    });
+
+    it("takes no success without a signature, no redirect and no malformed answer as a score, and repeats the call", async () => {
+        const { rewards, sent, results } = rewardFixture();
+        rewards.activate();
+        const outcomes: readonly ForwardOutcome[] = [
+            answered(200),
+            answered(302, "x"),
+            { kind: "unknown", detail: "The worker answered another request." },
+            { kind: "streamed" },
+        ];
+        for (const [nth, outcome] of outcomes.entries()) {
+            sent[nth]!.answer(outcome);
+            await pause(400);
+            expect(sent.length).to.be.greaterThan(nth + 1);
+        }
+        expect(results).to.deep.equal([]);
+        sent.at(-1)!.answer(answered(200, "s"));
+        await pause(5);
+        expect(results.map(({ score }) => score)).to.deep.equal(["s"]);
+    });
+
+    it("fails the task once the scoring service has answered with status 500 as often as allowed", async () => {
+        const { rewards, sent, results } = rewardFixture();
+        rewards.activate();
+        sent[0]!.answer(answered(500, "x"));
+        await pause(40);
+        expect(results).to.deep.equal([]);
+        sent[1]!.answer(answered(500, "x"));
+        await pause(5);
+        expect(results.map(({ state, output, score }) => [state, output, score])).to.deep.equal([
+            ["failed", "", undefined],
+        ]);
+    });
+
+    it("asks a second target when the first is silent, and stops the first once it has the score", async () => {
+        const { rewards, sent, results } = rewardFixture();
+        rewards.activate();
+        await pause(120);
+        expect(sent.map(({ target }) => target)).to.have.members(["a", "b"]);
+        sent[1]!.answer(answered(200, "s"));
+        await pause(5);
+        expect(sent[0]!.signal.aborted).to.equal(true);
+        expect(results).to.have.length(1);
+    });
+
+    it("ends an attempt at the route's timeout and repeats the call, on a new connection at the same target", async () => {
+        const { rewards, sent } = rewardFixture();
+        rewards.activate();
+        await pause(600);
+        expect(sent.length).to.be.greaterThan(2);
+        expect(sent.slice(0, 2).every(({ signal, isOnNewConnection }) => signal.aborted && !isOnNewConnection))
+            .to.equal(true);
+        expect(sent[2]!.isOnNewConnection).to.equal(true);
+    });
+
+    it("stops the call of an ended job, and drops its late score", async () => {
+        const { scheduler, rewards, events, sent, results } = rewardFixture();
+        rewards.activate();
+        await events.emit("stopped", scheduler.remove(asId<JobId>("j")));
+        expect(sent[0]!.signal.aborted).to.equal(true);
+        sent[0]!.answer(answered(200, "s"));
+        await pause(60);
+        expect(sent).to.have.length(1);
+        expect(results).to.deep.equal([]);
+    });
+});
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -28,6 +28,7 @@
 import { JobStore } from "./JobStore.js";
 import { type Journal } from "./Journal.js";
 import { LiveKeyWatch } from "./LiveKeyWatch.js";
+import { RewardRunner } from "./RewardRunner.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
 import { StandbyTask } from "./StandbyTask.js";
 import { VersionTask } from "./VersionTask.js";
@@ -78,6 +79,7 @@
     private readonly viewTask: ViewTask;
     private readonly scheduler: JobScheduler;
     private readonly registry: JobRegistry;
+    private readonly rewards: RewardRunner;
     private readonly runner: JobRunner;
     private readonly versions: VersionTask;
     private readonly standby: StandbyTask;
@@ -120,6 +122,16 @@
             journal,
         );
         this.versions = new VersionTask(settings, identity.name, this.view, this.conductor, engines, clock, journal);
+        this.rewards = new RewardRunner(
+            zone,
+            this.scheduler,
+            this.registry,
+            this.view,
+            targets,
+            random,
+            clock,
+            journal,
+        );
         this.runner = new JobRunner(
             settings,
             identity.name,
@@ -127,6 +139,7 @@
             this.registry,
             this.view,
             this.versions,
+            this.rewards,
             engines,
             clock,
             journal,
@@ -218,12 +231,13 @@
             viewAgeMs: view.ageMs,
             versions: Object.fromEntries(view.versions),
             targets: view.directory.targets,
-            jobs: scheduler.open.map(({ job, waiting, running, log }) => ({
+            jobs: scheduler.open.map(({ job, waiting, running, scoring, log }) => ({
                 job: job.id,
                 step: job.step,
                 tasks: job.tasks.length,
                 waiting: waiting.length,
                 running: running.size,
+                scoring: scoring.size,
                 listed: log.listed.length,
             })),
             peers: this.ports.peers.describe(),
@@ -278,6 +292,7 @@
         this.registry.activate();
         this.versions.activate(this.runner);
         this.runner.activate();
+        this.rewards.activate();
         this.standby.activate();
         this.watch.activate();
     }
@@ -285,6 +300,7 @@
     private endConducting(): void {
         this.watch.deactivate();
         this.standby.deactivate();
+        this.rewards.deactivate();
         this.runner.deactivate();
         this.versions.deactivate();
         this.registry.deactivate();
--- a/packages/rollout/src/lib/StandbyTask.test.ts
+++ b/packages/rollout/src/lib/StandbyTask.test.ts
@@ -2,14 +2,23 @@
 
 import { createMonotonicClock } from "@tamarackpath/adapters";
 import {
+    after,
     asId,
+    type GroupId,
     type HostId,
+    type Instant,
     type JobId,
+    JobLog,
     JobScheduler,
     type PeerNetwork,
     type ProgressSnapshot,
+    type RewardCallId,
+    type ServiceId,
+    sleepUntil,
     type StandbyUpdate,
+    type TargetId,
     type TaskId,
+    type TaskProgress,
     type UnlistedResult,
     type UnstoredWork,
     type WeightVersion,
@@ -21,9 +30,12 @@
 import { noopJournal } from "./Journal.js";
 import { StandbyTask } from "./StandbyTask.js";
 
+const clock = createMonotonicClock();
+
 interface Fixture {
     readonly keep: (copy: StandbyUpdate, from?: HostId) => Promise<unknown>;
     readonly task: StandbyTask;
+    readonly scheduler: JobScheduler;
     readonly passed: UnstoredWork[];
     readonly copies: StandbyUpdate[];
 }
@@ -55,9 +67,9 @@
     };
     const scheduler = new JobScheduler(() => 1);
     const registry = { unlisted } as unknown as JobRegistry;
-    const task = new StandbyTask(options, scheduler, registry, peers, createMonotonicClock(), noopJournal);
+    const task = new StandbyTask(options, scheduler, registry, peers, clock, noopJournal);
     const first = asId<HostId>("first");
-    return { keep: (copy, from = first) => handlers.get("standby-keep")!(copy, from), task, passed, copies };
+    return { keep: (copy, from = first) => handlers.get("standby-keep")!(copy, from), task, scheduler, passed, copies };
 }
 
 function partFixture(): StandbyUpdate {
@@ -66,11 +78,60 @@
 
 function resultFixture(): UnlistedResult {
     const task = asId<TaskId>("t");
-    return { job: asId<JobId>("j"), result: { task, state: "completed", output: "abc", versions: [] } };
+    return {
+        job: asId<JobId>("j"),
+        result: { task, state: "completed", output: "abc", versions: [], score: undefined },
+    };
 }
 
 function textFixture(textId: number, pieces: readonly string[], lastEventId: number): ProgressSnapshot {
-    return { textId, pieces, versions: [1 as WeightVersion], lastEventId };
+    return { textId, pieces, versions: [1 as WeightVersion], lastEventId, isComplete: false };
+}
+
+/** Opens a job whose only task waits for its score. */
+function addScoring(scheduler: JobScheduler, id: TaskId): TaskProgress {
+    const reward = { id: asId<RewardCallId>("r"), host: "h", path: "/s/", body: new Uint8Array() };
+    const job = {
+        id: asId<JobId>("j"),
+        host: "h",
+        path: "/p/",
+        submittedAt: 0 as Instant,
+        step: 0,
+        model: "m",
+        minVersion: 1 as WeightVersion,
+        targetGroups: 1,
+        tasks: [{
+            id,
+            group: asId<GroupId>("g"),
+            path: "/p/",
+            headers: {},
+            body: new Uint8Array(),
+            tokens: 1,
+            expectedTokens: undefined,
+            reward,
+        }],
+    };
+    const terms = {
+        service: asId<ServiceId>("s"),
+        maxAttempts: 3,
+        priority: 1,
+        singleVersion: false,
+        expiresAt: Infinity as Instant,
+        dueAt: Infinity as Instant,
+    };
+    scheduler.add(job, terms, new JobLog());
+    const engine = {
+        target: asId<TargetId>("e"),
+        service: terms.service,
+        slots: 1,
+        running: 0,
+        versionOf: () => 1 as WeightVersion,
+        speed: 1,
+    };
+    const { run } = scheduler.next([engine], 0 as Instant)!;
+    run.progress.append({ id: 1, data: "a" }, 1 as WeightVersion);
+    scheduler.end(run, "completed", 0 as Instant);
+    return run.progress;
 }
 
 describe("StandbyTask", () => {
@@ -99,6 +160,25 @@
         expect(passed[1]!.texts[0]!.text).to.deep.include({ textId: 6, pieces: ["X"] });
     });
 
+    it("records that a text is complete, also when no events follow", async () => {
+        const { keep, task: standby, passed } = standbyFixture();
+        await keep({ ...partFixture(), texts: [{ task, from: 0, text: textFixture(5, ["a", "b"], 2) }] });
+        const end = { ...textFixture(5, [], 2), isComplete: true };
+        await keep({ ...partFixture(), texts: [{ task, from: 2, text: end }] });
+        await standby.passOn(conductor);
+        expect(passed[0]!.texts[0]!.text).to.deep.include({ pieces: ["a", "b"], isComplete: true });
+    });
+
+    it("copies a text that waits for its score whole, however short it is, and once", async () => {
+        const { task: standby, scheduler, copies } = standbyFixture();
+        const progress = addScoring(scheduler, task);
+        standby.activate();
+        expect(copies[0]!.texts).to.deep.equal([{ task, from: 0, text: progress.snapshot(0) }]);
+        await sleepUntil(clock, after(clock.now(), 450));
+        standby.deactivate();
+        expect(copies).to.have.length(1);
+    });
+
     it("keeps what a conductor did not acknowledge, for the next one", async () => {
         const answers = [Left({ reason: "no-answer", detail: "cut off" }), Right(Right({}))];
         const { keep, task: standby, passed } = standbyFixture({ answer: async () => answers.shift() });
--- a/packages/rollout/src/lib/StandbyTask.ts
+++ b/packages/rollout/src/lib/StandbyTask.ts
@@ -1,5 +1,6 @@
 /**
- * Keeps standby copies of what only the conductor has: unlisted results and the texts of long unfinished samples. The
+ * Keeps standby copies of what only the conductor has: unlisted results, texts that wait for their score, and long texts
+ * of unfinished samples. The
  * conductor sends additions to two hosts in other zones, and each of them passes its copies on to a new conductor, so
  * that the loss of a conductor causes a short delay and does not lose the samples that a step waits for. The copies are
  * not authoritative: they only save work, and a lost copy is made again.
@@ -60,7 +61,10 @@
 
 /** The texts and results that were sent to one standby. */
 interface SentCopies {
-    readonly texts: Map<TaskId, { readonly textId: TextId; readonly events: number; }>;
+    readonly texts: Map<
+        TaskId,
+        { readonly textId: TextId; readonly events: number; readonly isComplete: boolean; }
+    >;
     readonly results: Set<TaskResult>;
 }
 
@@ -192,9 +196,12 @@
         const texts = this.scheduler.texts.flatMap(({ task, progress }) => {
             const sentText = previous?.texts.get(task);
             const from = sentText?.textId === progress.textId ? sentText.events : 0;
-            const text = progress.eventCount - from >= minCopyEvents ? progress.snapshot(from) : undefined;
+            const isNews = progress.eventCount - from >= minCopyEvents
+                || progress.isComplete && sentText?.isComplete !== true;
+            const text = isNews ? progress.snapshot(from) : undefined;
             if (text !== undefined) {
-                current.texts.set(task, { textId: text.textId, events: from + text.pieces.length });
+                const { textId, pieces, isComplete } = text;
+                current.texts.set(task, { textId, events: from + pieces.length, isComplete });
             }
             else if (sentText !== undefined) {
                 current.texts.set(task, sentText);
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -34,6 +34,7 @@
     "job-ended": "A job has ended.",
     "task-started": "A task's run at an engine has started.",
     "task-ended": "A task's run at an engine ended, and how.",
+    "reward-attempt": "A reward call was sent to a target, how that ended, and what follows.",
     "results-listed": "Results are stored at their positions.",
     "read-answered": "A read of results could not be answered in full.",
     "host-retired": "A retiring host holds nothing, and the conductor confirms it.",
