--- a/packages/core/src/lib/jobs/RewardQueue.test.ts
+++ b/packages/core/src/lib/jobs/RewardQueue.test.ts
@@ -181,7 +181,10 @@
 
     it("ends each call once, whatever order attempts end in, and counts no attempt that is gone", () => {
         const ends: readonly RewardAttemptEnd[] = ["scored", "failed", "not-run", "unknown", "cancelled"];
-        const moves = fc.array(fc.tuple(fc.nat(400), fc.nat(20), fc.constantFrom(...ends)), { maxLength: 120 });
+        const moves = fc.array(fc.tuple(fc.nat(400), fc.nat(20), fc.constantFrom(...ends)), {
+            maxLength: 120,
+            size: "max",
+        });
         fc.assert(
             fc.property(moves, steps => {
                 const { scheduler, open } = scoringFixture(12);
