--- a/apps/cli/src/lib/Connection.ts
+++ b/apps/cli/src/lib/Connection.ts
@@ -6,7 +6,7 @@
 import { readFileSync } from "node:fs";
 import { dirname, resolve } from "node:path";
 import { type Either, Left, Right } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 
 const addressesSchema = z.array(z.url({ protocol: /^https?$/, error: "an http or https address" })).min(1);
 
--- a/apps/daemon/src/lib/http/configRoutes.ts
+++ b/apps/daemon/src/lib/http/configRoutes.ts
@@ -14,7 +14,7 @@
     sleepUntil,
 } from "@tamarackpath/core";
 import express, { type Request, type Response, Router } from "express";
-import { z } from "zod";
+import * as z from "zod";
 import { type Context } from "../Context.js";
 import { sendProblem } from "./problems.js";
 
--- a/apps/daemon/src/lib/http/stepRoutes.ts
+++ b/apps/daemon/src/lib/http/stepRoutes.ts
@@ -12,7 +12,7 @@
     type WeightVersion,
 } from "@tamarackpath/core";
 import { type Either, Left, Right } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { type Context } from "../Context.js";
 import { type StepRouter } from "../tasks/StepRouter.js";
 import { type WeightTask } from "../tasks/WeightTask.js";
--- a/apps/daemon/src/lib/http/streamCompletion.ts
+++ b/apps/daemon/src/lib/http/streamCompletion.ts
@@ -3,7 +3,7 @@
 import { check, type Instant, type Problem, problem } from "@tamarackpath/core";
 import { type Response } from "express";
 import { type Either } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 import { type Context } from "../Context.js";
 import { type CompletionTask } from "../tasks/CompletionTask.js";
 import { disconnectSignal } from "./callRoutes.js";
--- a/apps/daemon/src/lib/settings/Settings.ts
+++ b/apps/daemon/src/lib/settings/Settings.ts
@@ -3,7 +3,7 @@
 import { readToml } from "@tamarackpath/adapters";
 import { type Finding, type HostId, type ZoneId } from "@tamarackpath/core";
 import { type Either } from "purify-ts";
-import { z } from "zod";
+import * as z from "zod";
 
 const address = z.string().regex(
     /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/,
--- a/packages/adapters/src/lib/HttpEngine.ts
+++ b/packages/adapters/src/lib/HttpEngine.ts
@@ -19,7 +19,7 @@
 import { createParser } from "eventsource-parser";
 import { type Either, Left, Right } from "purify-ts";
 import { type Dispatcher, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { readChunk } from "./readChunk.js";
 import { toTargetFailure } from "./targetFailures.js";
 
--- a/packages/adapters/src/lib/HttpHostList.ts
+++ b/packages/adapters/src/lib/HttpHostList.ts
@@ -14,7 +14,7 @@
 } from "@tamarackpath/core";
 import { type Either, Left, Right } from "purify-ts";
 import { type Dispatcher, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 
 const entrySchema = z.object({
     targets: z.array(z.string()).length(1),
--- a/packages/adapters/src/lib/HttpPlainService.ts
+++ b/packages/adapters/src/lib/HttpPlainService.ts
@@ -12,7 +12,7 @@
 } from "@tamarackpath/core";
 import { type Either, Left, Right } from "purify-ts";
 import { type Dispatcher, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { OneShotConnection } from "./OneShotConnection.js";
 import { toTargetFailure } from "./targetFailures.js";
 
--- a/packages/adapters/src/lib/etcdMessages.ts
+++ b/packages/adapters/src/lib/etcdMessages.ts
@@ -1,6 +1,6 @@
 /** Schemas of the etcd v3 messages that the key-value client reads. */
 
-import { z } from "zod";
+import * as z from "zod";
 
 const entrySchema = z.object({
     key: z.string(),
--- a/packages/adapters/src/lib/readToml.test.ts
+++ b/packages/adapters/src/lib/readToml.test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from "chai";
 import fc from "fast-check";
-import { z } from "zod";
+import * as z from "zod";
 import { readToml } from "./readToml.js";
 
 const schema = z.strictObject({ host: z.strictObject({ id: z.string() }) });
--- a/packages/core/src/lib/answers/Claim.ts
+++ b/packages/core/src/lib/answers/Claim.ts
@@ -4,7 +4,7 @@
  * responds that the outcome is unknown.
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { type HostId, type Incarnation, type Instant } from "../ids.js";
 
 const outcomeSchema = z.object({
--- a/packages/core/src/lib/config/ConfigDocument.ts
+++ b/packages/core/src/lib/config/ConfigDocument.ts
@@ -3,7 +3,7 @@
  * answers, the pools and services generated from them, and the answer that each generated value comes from.
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { type CallerId, type ConfigRevision, type OperationId, type PoolId, type ServiceId } from "../ids.js";
 
 const id = <Id extends string>() =>
--- a/packages/core/src/lib/delivery/StepSpec.ts
+++ b/packages/core/src/lib/delivery/StepSpec.ts
@@ -1,6 +1,6 @@
 /** A training step as its trainer submits it, and the samples that it consists of. */
 
-import { z } from "zod";
+import * as z from "zod";
 import { shorten } from "../findings.js";
 import { type CallerId, type Instant, type ServiceId, type StepId, type WeightVersion } from "../ids.js";
 import { hash32 } from "../membership/rendezvous.js";
--- a/packages/core/src/lib/findings.test.ts
+++ b/packages/core/src/lib/findings.test.ts
@@ -1,7 +1,7 @@
 /** Tests of findings. */
 
 import { expect } from "chai";
-import { z } from "zod";
+import * as z from "zod";
 import { check } from "./findings.js";
 
 const schema = z.strictObject({
--- a/packages/core/src/lib/questionnaire/Questionnaire.ts
+++ b/packages/core/src/lib/questionnaire/Questionnaire.ts
@@ -3,7 +3,7 @@
  * contains no routing terms; the configuration is generated from the answers.
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { durationSchema } from "./durations.js";
 
 const name = z.string("a name").regex(
--- a/packages/core/src/lib/questionnaire/durations.ts
+++ b/packages/core/src/lib/questionnaire/durations.ts
@@ -1,6 +1,6 @@
 /** Parses durations as they are written in a questionnaire, such as "2 s", "40 min" or "1.5 h". */
 
-import { z } from "zod";
+import * as z from "zod";
 
 const msPerUnit: Readonly<Record<string, number>> = { ms: 1, s: 1000, min: 60_000, h: 3_600_000, d: 86_400_000 };
 const durationPattern = /^(\d+(?:\.\d+)?)\s*(ms|s|min|h|d)$/;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -9,5 +9,8 @@
     format: "cjs",
     outfile: "target/tamarackd.cjs",
     conditions: ["tamarackpath-source"],
+    // The text of the program stays in each process's memory. Names are kept, as logged errors show them.
+    minifySyntax: true,
+    minifyWhitespace: true,
     logLevel: "warning",
 });
