Keep calls back from a store that does not answer, and look for the conductor less often

Hosts with callers look the claim up after 0.25, 0.5 and then each second.

Ruled out: stale reads of the claim at a tenth of the price, as they may be seconds old.

--- a/packages/core/src/lib/keyvalue/CircuitBreaker.ts
+++ b/packages/core/src/lib/keyvalue/CircuitBreaker.ts
@@ -8,6 +8,7 @@
 /** Number of consecutive failures after which the circuit opens. */
 export const failuresToOpen = 3;
 
+/** Milliseconds before the first trial, which double with each failed one, and their default upper limit. */
 const waitMs = { initial: 250, max: 2000 } as const;
 const jitter = { min: 0.5, range: 0.5 } as const;
 
@@ -21,6 +22,8 @@
     private trying = false;
     private failedAt: Instant | undefined;
 
+    constructor(private readonly maxWaitMs: number = waitMs.max) {}
+
     /** Returns whether a call may start at `now`; an open circuit allows one trial call after its delay. */
     admit(now: Instant): boolean {
         if (this.openUntil === undefined) {
@@ -52,7 +55,7 @@
         this.trying = false;
         if (this.failures >= failuresToOpen) {
             const doubled = waitMs.initial * 2 ** (this.failures - failuresToOpen);
-            const wait = Math.min(waitMs.max, doubled) * (jitter.min + jitter.range * random);
+            const wait = Math.min(this.maxWaitMs, doubled) * (jitter.min + jitter.range * random);
             this.openUntil = after(now, wait);
         }
     }
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -52,6 +52,12 @@
 /** Followers that are asked for the conductor when this host's claim may have lapsed; some may be cut off as well. */
 const maxAskedFollowers = 4;
 
+/** Upper limit in milliseconds of the time between lookups of the conductor at a host with callers. */
+const maxLookupDelayMs = 1000;
+
+/** Milliseconds between checks whether the view of a host that does not conduct is stale. */
+const staleCheckIntervalMs = 300;
+
 /** Milliseconds before a loop tries again after it had no result or nothing to do. */
 const retryDelayMs = 250;
 
@@ -123,7 +129,8 @@
             else if (isStale) {
                 await Promise.all([this.readOperator(), this.readTargets()]);
             }
-            await sleepUntil(this.clock, after(this.clock.now(), pollMs));
+            const delayMs = this.conductor.isConductor || isStale ? pollMs : staleCheckIntervalMs;
+            await sleepUntil(this.clock, after(this.clock.now(), delayMs));
         }
     }
 
@@ -183,7 +190,10 @@
                     await seedRequests;
                 }
                 if (missedPulls > 1) {
-                    await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
+                    // Every host with callers looks for the new conductor at once, and each lookup is billed.
+                    const maxDelayMs = hasCallers ? maxLookupDelayMs : retryDelayMs;
+                    const delayMs = Math.min(maxDelayMs, retryDelayMs * 2 ** (missedPulls - 2));
+                    await sleepUntil(this.clock, after(this.clock.now(), delayMs));
                 }
             }
         }
