Move a step's longest samples to engines that are faster for good

Cause: the longest samples decide when a step ends (up to 170 events of 49 tokens, 6.1 s at best where 7.5 s are due), and engines of one service differ for good: on further/ 32 to 36 ms an event at four, 46 and 45 at two; on the small twin of large/ 38 at six, 48 and 50 at two, while load adds less than 10%. Nothing moved a long sample off the slower ones, since the paces of the moment are too close (a ratio of 2.2 is needed).

Gaps of a pause for a change of weights are left out of the paces.

Tests: planUpgrades in MovePlan.test.ts replays paces of 38 and 50 ms.

--- a/packages/core/src/lib/jobs/JobScheduler.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.ts
@@ -60,6 +60,8 @@
     target: TargetId | undefined;
     /** The engine of the last run that ended in a fault; other engines are preferred to it. */
     lastFailedTarget: TargetId | undefined;
+    /** The engine that its next run is meant for, if it has a free slot. */
+    preferredTarget: TargetId | undefined;
 }
 
 /** A job that has not ended. */
@@ -134,6 +136,7 @@
                 notBefore: 0 as Instant,
                 target: undefined,
                 lastFailedTarget: undefined,
+                preferredTarget: undefined,
             };
             if (!run.progress.isComplete) {
                 open.waiting.push(run);
@@ -298,6 +301,7 @@
         waiting.splice(waiting.indexOf(run), 1);
         running.add(run);
         run.target = engine.target;
+        run.preferredTarget = undefined;
         this.groupTargets.set(run.task.group, engine.target);
         const version = engine.versionOf(job.model);
         const wouldMixVersions = terms.singleVersion
@@ -308,6 +312,10 @@
     }
 
     private choose(run: TaskRun, engines: readonly EngineCapacity[]): EngineCapacity | undefined {
+        const meant = engines.find(engine => engine.target === run.preferredTarget);
+        if (meant !== undefined) {
+            return meant;
+        }
         const others = engines.filter(engine => engine.target !== run.lastFailedTarget);
         const candidates = others.length > 0 ? others : engines;
         const leastLoaded = candidates.reduce((best, engine) => loadOf(engine) < loadOf(best) ? engine : best);
--- a/packages/core/src/lib/jobs/MovePlan.test.ts
+++ b/packages/core/src/lib/jobs/MovePlan.test.ts
@@ -1,10 +1,10 @@
 /** Tests of a step that waits for a few long samples while one engine is slow or sends nothing. */
 
 import { expect } from "chai";
-import { asId, type Instant, type TargetId } from "../ids.js";
+import { asId, type Instant, type TargetId, type WeightVersion } from "../ids.js";
 import { engineFixture, jobFixture, schedulerFixture, taskFixture, termsFixture } from "./jobFixtures.test.js";
 import { JobLog } from "./JobLog.js";
-import { type AvailableEngine, type MovableRun, planMoves } from "./MovePlan.js";
+import { type AvailableEngine, type MovableRun, type PacedEngine, planMoves, planUpgrades } from "./MovePlan.js";
 import { PaceTracker } from "./PaceTracker.js";
 
 const limits = { silentMs: 600, silentAtStartMs: 900 };
@@ -110,3 +110,56 @@
         expect(planMoves([runFixture("usual")], fast, speedOf, new Set(), limits, now)).to.deep.equal([]);
     });
 });
+
+describe("planUpgrades", () => {
+    const now = 5000 as Instant;
+
+    function pacedFixture(name: string, usualGapMs: number | undefined, freeSlots = 6): PacedEngine {
+        return { target: asId<TargetId>(name), slots: 6, freeSlots, usualGapMs };
+    }
+
+    function longRunFixture(target: string, events: number): MovableRun {
+        const run = runFixture(target);
+        for (let id = 1; id <= events; id++) {
+            run.run.progress.append({ id, data: "x" }, 1 as WeightVersion);
+        }
+        return run;
+    }
+
+    // Paces of a day with eight engines, of which two are slower by 30%: 38 and 50 ms an event.
+    const engines = [pacedFixture("fast", 38), pacedFixture("slow", 50)];
+
+    it("moves the longest samples to an engine that is faster for good, and leaves shorter ones", () => {
+        const runs = [longRunFixture("slow", 20), longRunFixture("slow", 60), longRunFixture("slow", 110)];
+        const moves = planUpgrades(runs, engines, new Set(), now);
+        expect(moves.map(({ run, to }) => [run.progress.eventCount, to])).to.deep.equal([[110, "fast"], [60, "fast"]]);
+    });
+
+    it("leaves a run where it is when the gain is small, the faster engine is busy or a pace is unknown", () => {
+        const run = longRunFixture("slow", 60);
+        const without = (faster: PacedEngine): number =>
+            planUpgrades([run], [pacedFixture("slow", 50), faster], new Set(), now).length;
+        expect(without(pacedFixture("fast", 47))).to.equal(0);
+        expect(without(pacedFixture("fast", 38, 1))).to.equal(0);
+        expect(without(pacedFixture("fast", undefined))).to.equal(0);
+        expect(planUpgrades([run], [pacedFixture("slow", undefined), engines[0]!], new Set(), now)).to.deep.equal([]);
+    });
+
+    it("keeps room at the faster engine, and moves no run to or from an engine that changes weights", () => {
+        const runs = Array.from({ length: 9 }, () => longRunFixture("slow", 60));
+        expect(planUpgrades(runs, engines, new Set(), now)).to.have.length(5);
+        for (const name of ["slow", "fast"]) {
+            expect(planUpgrades(runs, engines, new Set([asId<TargetId>(name)]), now)).to.deep.equal([]);
+        }
+    });
+
+    it("does not move a run back, however the pace of the moment changes", () => {
+        const paces = pacesFixture({ fast: 38, slow: 50 }, 8000);
+        for (let ms = 8000; ms <= 10_000; ms += 90) {
+            paces.recordGap(asId<TargetId>("fast"), 90, ms as Instant);
+        }
+        const paced = ["fast", "slow"].map(name => pacedFixture(name, paces.usualGapMs(asId<TargetId>(name))));
+        expect(planUpgrades([longRunFixture("fast", 60)], paced, new Set(), now)).to.deep.equal([]);
+        expect(planUpgrades([longRunFixture("slow", 60)], paced, new Set(), now)).to.have.length(1);
+    });
+});
--- a/packages/core/src/lib/jobs/MovePlan.ts
+++ b/packages/core/src/lib/jobs/MovePlan.ts
@@ -2,7 +2,8 @@
  * Decides which runs move to another engine. Resuming a run after its last event costs little more than processing its
  * prompt again, so a run is moved when its engine has stopped sending events, or generates tokens much slower than
  * another engine with free slots. This helps steps that wait for a few long samples while some engines are slow or
- * unreachable.
+ * unreachable. Engines of one service also differ for good by a quarter or more, and the longest samples decide when a
+ * step ends: these move to a faster engine once it has room.
  */
 
 import { type Instant, type TargetId } from "../ids.js";
@@ -27,6 +28,22 @@
     readonly speed: number;
 }
 
+/** An engine with room, and its usual pace. */
+export interface PacedEngine {
+    readonly target: TargetId;
+    readonly slots: number;
+    readonly freeSlots: number;
+    /** Milliseconds between events of a run there while it has little other work; undefined while that is unknown. */
+    readonly usualGapMs: number | undefined;
+}
+
+/** A long run to move from `target` to the faster engine `to`. */
+export interface UpgradeMove {
+    readonly run: TaskRun;
+    readonly target: TargetId;
+    readonly to: TargetId;
+}
+
 /** A run to move away from `target`, and why. */
 export interface Move {
     readonly run: TaskRun;
@@ -85,3 +102,50 @@
     }
     return moves;
 }
+
+/** Number of events from which a run counts as one of those that a step waits for. */
+const minLongEvents = 30;
+
+/** Events that a long run is expected to have left, as a share of those that it has. */
+const expectedLeftShare = 0.5;
+
+/** Minimum milliseconds that a move to a faster engine saves; processing the prompt again takes part of it. */
+const minSavedMs = 150;
+
+/** Share of the faster engine's slots that must be free, since a busier engine is not faster. */
+const minFreeShare = 0.3;
+
+/** The long runs to move to engines that are faster for good, the longest first. */
+export function planUpgrades(
+    runs: readonly MovableRun[],
+    engines: readonly PacedEngine[],
+    changing: ReadonlySet<TargetId>,
+    now: Instant,
+): readonly UpgradeMove[] {
+    const moves: UpgradeMove[] = [];
+    const paces = new Map(engines.map(({ target, usualGapMs }) => [target, usualGapMs]));
+    const room = new Map(engines.map(({ target, slots, freeSlots }) => [target, freeSlots - minFreeShare * slots]));
+    const candidates = runs
+        .filter(({ run, target, startedAt }) =>
+            run.progress.eventCount >= minLongEvents && !changing.has(target) && now - startedAt > minStayMs
+        )
+        .sort((a, b) => b.run.progress.eventCount - a.run.progress.eventCount);
+    for (const { run, target } of candidates) {
+        const ownGapMs = paces.get(target);
+        const maxGapMs = (ownGapMs ?? 0) - minSavedMs / (run.progress.eventCount * expectedLeftShare);
+        const to = engines
+            .filter(engine =>
+                engine.target !== target && (engine.usualGapMs ?? Infinity) < maxGapMs && !changing.has(engine.target)
+                && room.get(engine.target)! > 0
+            )
+            .reduce<PacedEngine | undefined>(
+                (best, engine) => best === undefined || engine.usualGapMs! < best.usualGapMs! ? engine : best,
+                undefined,
+            );
+        if (to !== undefined) {
+            room.set(to.target, room.get(to.target)! - 1);
+            moves.push({ run, target, to: to.target });
+        }
+    }
+    return moves;
+}
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -10,8 +10,10 @@
     type EngineCapacity,
     type Instant,
     type JobScheduler,
+    type MovableRun,
     PaceTracker,
     planMoves,
+    planUpgrades,
     type ProgressSnapshot,
     type RolloutEngines,
     type RunEnd,
@@ -253,7 +255,8 @@
 
     private recordEvent(running: RunningTask): void {
         const now = this.clock.now();
-        if (running.hasEvents) {
+        // The gap of a pause for a change of weights says nothing about the engine's pace.
+        if (running.hasEvents && !this.versions.isChanging(running.target, now)) {
             this.paceTracker.recordGap(running.target, now - running.lastEventAt, now);
         }
         running.hasEvents = true;
@@ -299,9 +302,39 @@
             running.moved = reason;
             running.stop.abort();
         }
+        this.upgradeRuns(runs.filter(({ run }) => this.runs.get(run)?.moved === undefined), engines, changing, now);
         this.cancelMoves = this.clock.callAt(after(now, moveIntervalMs), () => this.moveRuns());
     }
 
+    /** Moves the longest runs to engines that are faster for good, if no task waits for the slots there. */
+    private upgradeRuns(
+        runs: readonly MovableRun[],
+        engines: readonly EngineCapacity[],
+        changing: ReadonlySet<TargetId>,
+        now: Instant,
+    ): void {
+        if (this.hasWaiting) {
+            return;
+        }
+        for (const open of this.scheduler.open) {
+            const { model, minVersion } = open.job;
+            const paced = engines.filter(engine => (engine.versionOf(model) ?? -1) >= minVersion)
+                .map(({ target, slots, running }) => ({
+                    target,
+                    slots,
+                    freeSlots: slots - running,
+                    usualGapMs: this.paceTracker.usualGapMs(target),
+                }));
+            const own = runs.filter(({ run }) => run.job === open);
+            for (const { run, to } of planUpgrades(own, paced, changing, now)) {
+                const running = this.runs.get(run)!;
+                run.preferredTarget = to;
+                running.moved = "upgraded";
+                running.stop.abort();
+            }
+        }
+    }
+
     private settle(run: TaskRun, entry: TargetEntryView, end: TaskRunOutcome, isTooOld: boolean): void {
         const now = this.clock.now();
         if (isTooOld && run.job.terms.singleVersion) {
