--- a/packages/rollout/src/lib/LiveKeyWatch.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.ts
@@ -17,6 +17,8 @@
 import { type ConductorTask } from "./ConductorTask.js";
 import { type JobRegistry } from "./JobRegistry.js";
 import { type EndedJob, type JobStore } from "./JobStore.js";
+import { type Journal } from "./Journal.js";
+import { repeatUntil } from "./repeatUntil.js";
 
 /** Milliseconds that one call of the watch waits for changes. */
 const waitMs = 4000;
@@ -34,6 +36,7 @@
         private readonly registry: JobRegistry,
         private readonly conductor: ConductorTask,
         private readonly clock: Clock,
+        private readonly journal: Journal,
     ) {}
 
     activate(): void {
@@ -46,13 +49,18 @@
     }
 
     private async loop(generation: number): Promise<void> {
+        const { clock, journal } = this;
         let asOf: KeyRevision | undefined;
-        while (generation === this.generation) {
-            asOf = asOf === undefined ? await this.readAll(generation) : await this.followChanges(asOf, generation);
+        const step = async (): Promise<void> => {
+            const from = asOf;
+            // After an error the whole range is read again.
+            asOf = undefined;
+            asOf = from === undefined ? await this.readAll(generation) : await this.followChanges(from, generation);
             if (asOf === undefined) {
-                await sleepUntil(this.clock, after(this.clock.now(), rereadDelayMs));
+                await sleepUntil(clock, after(clock.now(), rereadDelayMs));
             }
-        }
+        };
+        await repeatUntil(() => generation !== this.generation, step, { name: "watch the jobs", clock, journal });
     }
 
     private async readAll(generation: number): Promise<KeyRevision | undefined> {
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -144,7 +144,7 @@
             clock,
             journal,
         );
-        this.watch = new LiveKeyWatch(store, jobs, this.registry, this.conductor, clock);
+        this.watch = new LiveKeyWatch(store, jobs, this.registry, this.conductor, clock, journal);
         this.standby = new StandbyTask(
             {
                 zone,
@@ -165,6 +165,7 @@
             documents,
             peers,
             clock,
+            journal,
         );
         this.jobCalls = new JobCallHandler(
             { self, maxPageBytes, isCutOff: () => this.isCutOff },
--- a/packages/rollout/src/lib/StandbyTask.ts
+++ b/packages/rollout/src/lib/StandbyTask.ts
@@ -178,6 +178,7 @@
     }
 
     private copy(): void {
+        this.cancelCopy = this.clock.callAt(after(this.clock.now(), copyIntervalMs), () => this.copy());
         // A standby gets no further copy while the last one is in flight, so that copies to a slow standby do not use
         // up this host's memory.
         for (const host of this.chooseStandbys().filter(standby => !this.sending.has(standby))) {
@@ -186,7 +187,6 @@
                 void this.send(host, copy);
             }
         }
-        this.cancelCopy = this.clock.callAt(after(this.clock.now(), copyIntervalMs), () => this.copy());
     }
 
     /** Returns what a standby does not have yet, and records it as sent. */
--- a/packages/rollout/src/lib/ViewTask.test.ts
+++ b/packages/rollout/src/lib/ViewTask.test.ts
@@ -39,7 +39,15 @@
     } as unknown as PlatformDocuments;
     const seeds = [asId<HostId>("silent"), asId<HostId>("other")];
     const options = { settings: defaultRolloutSettings, seeds, zone: asId<ZoneId>("z"), hasCallers };
-    const task = new ViewTask(options, new HostView(clock, noopJournal), conductor, documents, peers, clock);
+    const task = new ViewTask(
+        options,
+        new HostView(clock, noopJournal),
+        conductor,
+        documents,
+        peers,
+        clock,
+        noopJournal,
+    );
     const until = after(clock.now(), ms);
     task.start();
     while (clock.now() < until) {
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -16,6 +16,8 @@
 import { Right } from "purify-ts";
 import { type ConductorTask } from "./ConductorTask.js";
 import { type HostView } from "./HostView.js";
+import { type Journal } from "./Journal.js";
+import { repeatUntil } from "./repeatUntil.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
 import { type Follower } from "./StandbyTask.js";
 
@@ -66,6 +68,8 @@
     private stopped = false;
     private noAnswerSince: Instant | undefined;
     private hasConductorAnswered = false;
+    /** Number of consecutive pulls without an answer. */
+    private missedPulls = 0;
     private readonly followersByHost = new Map<HostId, Follower & { readonly at: Instant; }>();
     /** The conductor from which a view was last pulled, and the revision of that view. */
     private lastPulledView: { readonly host: HostId; readonly number: number; } | undefined;
@@ -77,6 +81,7 @@
         private readonly documents: PlatformDocuments,
         private readonly peers: PeerNetwork,
         private readonly clock: Clock,
+        private readonly journal: Journal,
     ) {
         peers.handle("view-pull", async ({ have, zone, hasCallers }, from) => {
             this.followersByHost.set(from, { host: from, zone, hasCallers, at: clock.now() });
@@ -107,9 +112,11 @@
     }
 
     start(): void {
-        void this.followLoop();
-        void this.readLoop();
-        void this.watchLoop();
+        const { clock, journal } = this;
+        const isStopped = (): boolean => this.stopped;
+        void repeatUntil(isStopped, () => this.follow(), { name: "follow the conductor", clock, journal });
+        void repeatUntil(isStopped, () => this.readWhenDue(), { name: "read the documents", clock, journal });
+        void repeatUntil(isStopped, () => this.watchOperator(), { name: "watch the operators", clock, journal });
     }
 
     stop(): void {
@@ -119,33 +126,29 @@
     /**
      * Reads the targets while this host conducts, and the targets and the operators' documents while its view is stale.
      */
-    private async readLoop(): Promise<void> {
+    private async readWhenDue(): Promise<void> {
         const { pollMs, staleViewMs } = this.options.settings;
-        while (!this.stopped) {
-            const isStale = (this.view.ageMs ?? Infinity) > staleViewMs;
-            if (this.conductor.isConductor) {
-                await this.readTargets();
-            }
-            else if (isStale) {
-                await Promise.all([this.readOperator(), this.readTargets()]);
-            }
-            const delayMs = this.conductor.isConductor || isStale ? pollMs : staleCheckIntervalMs;
-            await sleepUntil(this.clock, after(this.clock.now(), delayMs));
+        const isStale = (this.view.ageMs ?? Infinity) > staleViewMs;
+        if (this.conductor.isConductor) {
+            await this.readTargets();
+        }
+        else if (isStale) {
+            await Promise.all([this.readOperator(), this.readTargets()]);
         }
+        const delayMs = this.conductor.isConductor || isStale ? pollMs : staleCheckIntervalMs;
+        await sleepUntil(this.clock, after(this.clock.now(), delayMs));
     }
 
-    /** Watches the operators' documents while this host conducts. */
-    private async watchLoop(): Promise<void> {
-        while (!this.stopped) {
-            if (!this.conductor.isConductor) {
-                await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
-                continue;
-            }
-            const seen = await this.documents.awaitOperatorChange(watchWaitMs);
-            seen.ifRight(read => this.view.applyOperator(read, "store"));
-            if (seen.isLeft()) {
-                await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
-            }
+    /** Waits for a change of the operators' documents while this host conducts. */
+    private async watchOperator(): Promise<void> {
+        if (!this.conductor.isConductor) {
+            await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
+            return;
+        }
+        const seen = await this.documents.awaitOperatorChange(watchWaitMs);
+        seen.ifRight(read => this.view.applyOperator(read, "store"));
+        if (seen.isLeft()) {
+            await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
         }
     }
 
@@ -160,42 +163,40 @@
         res.ifLeft(() => this.view.directory.recordFailure(startedAt));
     }
 
-    /** Pulls the conductor's view, and finds a conductor when none answers. */
-    private async followLoop(): Promise<void> {
-        const { hasCallers } = this.options;
-        let missedPulls = 0;
-        while (!this.stopped) {
-            const host = this.conductor.conductor;
-            if (this.conductor.isConductor) {
-                await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
-                if (!this.conductor.isSure) {
-                    await this.checkForSuccessor();
-                }
-                continue;
-            }
-            const shouldPull = host !== undefined
-                && (missedPulls === 0 || hasCallers || await this.isStillConductor(host));
-            const hasAnswered = shouldPull && await this.pull(host);
-            missedPulls = hasAnswered ? 0 : missedPulls + 1;
-            this.hasConductorAnswered = hasAnswered;
-            if (hasAnswered) {
-                this.noAnswerSince = undefined;
-            }
-            else {
-                const seedRequests = this.requestFromSeeds().then(hasSeedAnswered => {
-                    this.noAnswerSince = hasSeedAnswered ? undefined : this.noAnswerSince ?? this.clock.now();
-                });
-                // The seeds' answers are only used when the store does not answer.
-                if (!await this.conductor.lookUpClaim()) {
-                    await seedRequests;
-                }
-                if (missedPulls > 1) {
-                    // Every host with callers looks for the new conductor at once, and each lookup is billed.
-                    const maxDelayMs = hasCallers ? maxLookupDelayMs : retryDelayMs;
-                    const delayMs = Math.min(maxDelayMs, retryDelayMs * 2 ** (missedPulls - 2));
-                    await sleepUntil(this.clock, after(this.clock.now(), delayMs));
-                }
+    /** Pulls the conductor's view once, and looks for a conductor when none answers. */
+    private async follow(): Promise<void> {
+        const host = this.conductor.conductor;
+        if (this.conductor.isConductor) {
+            await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
+            if (!this.conductor.isSure) {
+                await this.checkForSuccessor();
             }
+            return;
+        }
+        const shouldPull = host !== undefined
+            && (this.missedPulls === 0 || this.options.hasCallers || await this.isStillConductor(host));
+        this.hasConductorAnswered = shouldPull && await this.pull(host);
+        this.missedPulls = this.hasConductorAnswered ? 0 : this.missedPulls + 1;
+        if (this.hasConductorAnswered) {
+            this.noAnswerSince = undefined;
+            return;
+        }
+        await this.findConductor();
+    }
+
+    private async findConductor(): Promise<void> {
+        const seedRequests = this.requestFromSeeds().then(hasSeedAnswered => {
+            this.noAnswerSince = hasSeedAnswered ? undefined : this.noAnswerSince ?? this.clock.now();
+        });
+        // The seeds' answers are only used when the store does not answer.
+        if (!await this.conductor.lookUpClaim()) {
+            await seedRequests;
+        }
+        if (this.missedPulls > 1) {
+            // Every host with callers looks for the new conductor at once, and each lookup is billed.
+            const maxDelayMs = this.options.hasCallers ? maxLookupDelayMs : retryDelayMs;
+            const delayMs = Math.min(maxDelayMs, retryDelayMs * 2 ** (this.missedPulls - 2));
+            await sleepUntil(this.clock, after(this.clock.now(), delayMs));
         }
     }
 
