Divide engines among trainers by the work of their steps, and place long samples again at the fastest engine

Cause: on large/ one trainer's step has 184 samples of 24 events, the other's 176 of 10, and both got half of the engines: the first waits for slots twice, takes 7.3 s a step and falls behind its schedule, and steps to which a trainer never comes count as failed. It may ask a step ahead, so a step that takes half a second less decides whether it keeps up.

Now each model gets engines in proportion to the square root of its steps' expected tokens, one engine moved a time and only when two shares are off by 1.5 engines together. A sample of 15 events and more that is placed again goes to the engine at which it probably generates fastest, not to the least busy one.

--- a/packages/core/src/lib/conduct/ModelShares.ts
+++ b/packages/core/src/lib/conduct/ModelShares.ts
@@ -1,8 +1,10 @@
 /**
  * Divides a service's engines among its models. Each change of a version takes an engine out of service for about a
- * second and an engine changes one model at a time, so with several trainers no engine can follow every model. The
- * assignment is kept stable as engines come and go. A new conductor derives the assignment of its predecessor from the
- * engines' versions.
+ * second and an engine changes one model at a time, so with several trainers no engine can follow every model. Steps of
+ * one trainer may hold many times the work of another's: each model gets engines in proportion to the square root of the
+ * work of its steps, which makes the sum of the steps' times shortest when slots are what they wait for. The assignment
+ * is kept stable as engines come and go. A new conductor derives the assignment of its predecessor from the engines'
+ * versions.
  */
 
 import { type TargetId, type WeightVersion } from "../ids.js";
@@ -16,6 +18,12 @@
     readonly versionsBehind: (model: string) => number | undefined;
 }
 
+/**
+ * How far two models' numbers of engines may differ from their shares, added up, before an engine changes its model:
+ * above 1, so that no rounding moves it back.
+ */
+const minSurplusDifference = 1.5;
+
 /** Assigns a model to each engine of one service. */
 export class ModelShares {
     private readonly assigned = new Map<TargetId, string>();
@@ -25,8 +33,15 @@
         return this.assigned.get(target);
     }
 
-    /** Assigns a model to every engine that has none, and evens the shares out by at most one engine per call. */
-    update(models: readonly string[], engines: readonly AssignableEngine[]): void {
+    /**
+     * Assigns a model to every engine that has none, and corrects the shares by at most one engine per call. `workOf`
+     * returns the work of a model's steps in any one unit, or undefined while it is unknown.
+     */
+    update(
+        models: readonly string[],
+        engines: readonly AssignableEngine[],
+        workOf: (model: string) => number | undefined,
+    ): void {
         const listed = new Set(engines.map(({ target }) => target));
         for (const [target, model] of this.assigned) {
             if (!listed.has(target) || !models.includes(model)) {
@@ -36,28 +51,39 @@
         if (models.length === 0) {
             return;
         }
-        const maxPerModel = Math.ceil(engines.length / models.length);
+        const quotas = quotasOf(models, engines.length, workOf);
+        // Before its first step a new conductor keeps what the engines' versions show of its predecessor's shares.
+        const isWorkKnown = models.some(model => workOf(model) !== undefined);
         const unassigned = engines.filter(({ target }) => !this.assigned.has(target));
         for (
             const engine of [...unassigned].sort((a, b) => minVersionsBehind(models, a) - minVersionsBehind(models, b))
         ) {
-            const available = models.filter(model => this.count(model) < maxPerModel);
+            const available = isWorkKnown
+                ? models.filter(model => this.count(model) < Math.ceil(quotas.get(model)!))
+                : models;
             const behind = (model: string): number => engine.versionsBehind(model) ?? Infinity;
             const best = [...available].sort((a, b) => behind(a) - behind(b) || this.count(a) - this.count(b))[0];
             this.assigned.set(engine.target, best ?? models[0]!);
         }
-        this.rebalance(models, engines);
+        if (isWorkKnown) {
+            this.rebalance(models, engines, quotas);
+        }
     }
 
-    private rebalance(models: readonly string[], engines: readonly AssignableEngine[]): void {
-        const byCount = [...models].sort((a, b) => this.count(a) - this.count(b));
-        const [smallest, largest] = [byCount[0]!, byCount.at(-1)!];
-        if (this.count(largest) - this.count(smallest) < 2) {
+    private rebalance(
+        models: readonly string[],
+        engines: readonly AssignableEngine[],
+        quotas: ReadonlyMap<string, number>,
+    ): void {
+        const surplusOf = (model: string): number => this.count(model) - quotas.get(model)!;
+        const bySurplus = [...models].sort((a, b) => surplusOf(a) - surplusOf(b));
+        const [smallest, largest] = [bySurplus[0]!, bySurplus.at(-1)!];
+        if (surplusOf(largest) - surplusOf(smallest) < minSurplusDifference) {
             return;
         }
         const movable = engines.filter(({ target }) => this.assigned.get(target) === largest)
             .sort((a, b) => a.running - b.running)[0];
-        if (movable !== undefined) {
+        if (movable !== undefined && this.count(largest) > 1) {
             this.assigned.set(movable.target, smallest);
         }
     }
@@ -67,6 +93,19 @@
     }
 }
 
+/** The exact number of engines for each model; a model whose work is unknown counts as an average one. */
+function quotasOf(
+    models: readonly string[],
+    engineCount: number,
+    workOf: (model: string) => number | undefined,
+): ReadonlyMap<string, number> {
+    const known = models.flatMap(model => Math.sqrt(workOf(model) ?? 0) || []);
+    const average = known.length === 0 ? 1 : known.reduce((sum, root) => sum + root, 0) / known.length;
+    const roots = models.map(model => Math.sqrt(workOf(model) ?? 0) || average);
+    const total = roots.reduce((sum, root) => sum + root, 0);
+    return new Map(models.map((model, nth) => [model, engineCount * roots[nth]! / total]));
+}
+
 function minVersionsBehind(models: readonly string[], engine: AssignableEngine): number {
     return Math.min(...models.map(model => engine.versionsBehind(model) ?? Infinity));
 }
--- a/packages/core/src/lib/conduct/VersionPlan.ts
+++ b/packages/core/src/lib/conduct/VersionPlan.ts
@@ -100,8 +100,15 @@
         return Math.max(version, change?.version ?? 0) as WeightVersion;
     }
 
-    /** The orders to send at `now`; the caller reports each one to `recordSent` and `recordEnd`. */
-    decide(engines: readonly EngineState[], now: Instant): readonly VersionOrder[] {
+    /**
+     * The orders to send at `now`; the caller reports each one to `recordSent` and `recordEnd`. `workOf` returns the work
+     * of a model's steps, by which the engines are divided among models.
+     */
+    decide(
+        engines: readonly EngineState[],
+        now: Instant,
+        workOf: (model: string) => number | undefined = () => undefined,
+    ): readonly VersionOrder[] {
         const staying = engines.filter(({ leaving }) => !leaving);
         const models = [...this.named.keys()].filter(model =>
             staying.some(engine => listedVersion(engine, model) !== undefined)
@@ -113,6 +120,7 @@
                 running: engine.running,
                 versionsBehind: model => this.versionsBehindOf(engine, model),
             })),
+            workOf,
         );
         const changing = engines.filter(engine => this.isPaused(engine.target, now, 0)).length;
         const maxChanging = Math.max(1, Math.ceil(engines.length * this.limits.changingShare));
--- a/packages/core/src/lib/jobs/JobScheduler.test.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.test.ts
@@ -103,6 +103,26 @@
         expect(again.run.progress.lastEventId).to.equal(1);
     });
 
+    it("places a long sample that lost its engine at the fastest one, and a short one at the least busy one", () => {
+        // Paces of a day on which two of eight engines are slower by 30%, in the middle of a change of weights.
+        const engines = [
+            engineFixture("own", { slots: 6, usualGapMs: 38 }),
+            engineFixture("slow", { slots: 6, usualGapMs: 50 }),
+            engineFixture("busy", { slots: 6, usualGapMs: 38, running: 4 }),
+            engineFixture("slowed", { slots: 6, usualGapMs: 36, speed: 0.4 }),
+        ];
+        for (const [events, target] of [[60, "busy"], [3, "slow"]] as const) {
+            const scheduler = schedulerFixture();
+            scheduler.add(jobFixture([taskFixture(0)]), termsFixture(), new JobLog());
+            const { run } = scheduler.next([engines[0]!], now)!;
+            for (let id = 1; id <= events; id++) {
+                run.progress.append({ id, data: "x" }, one);
+            }
+            scheduler.end(run, "broken", now);
+            expect(scheduler.next(engines.slice(1), 1000 as Instant)?.target).to.equal(target);
+        }
+    });
+
     it("fails a task only after its last attempt, when it is impossible, or when it has expired", () => {
         const scheduler = schedulerFixture();
         const log = new JobLog();
--- a/packages/core/src/lib/jobs/JobScheduler.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.ts
@@ -45,6 +45,8 @@
     readonly versionOf: (model: string) => WeightVersion | undefined;
     /** Relative speed: 1 for an engine at full speed, less for a slower one. */
     readonly speed: number;
+    /** Milliseconds between events of a run there while it has little other work; undefined while that is unknown. */
+    readonly usualGapMs: number | undefined;
 }
 
 /** A task that runs or waits to run. */
@@ -94,9 +96,18 @@
 /** Milliseconds before a task is scheduled again, by how its run ended. */
 const retryDelayMs = { "not-run": 60, "broken": 20, "failed": 50 } as const;
 
+/**
+ * Number of events from which a run that is placed again goes to the fastest engine, since its step probably waits for
+ * it.
+ */
+const minLongEvents = 15;
+
 /** Number of events by which another host's copy of a text must be longer for a run to be restarted from it. */
 const minInheritedEvents = 8;
 
+/** Share by which a run is slower at an engine whose slots are all taken. */
+const maxLoadSlowdown = 0.2;
+
 /** Maximum number of tasks whose text is kept for a later job that submits them again. */
 const maxRetainedTexts = 1500;
 
@@ -318,6 +329,9 @@
         }
         const others = engines.filter(engine => engine.target !== run.lastFailedTarget);
         const candidates = others.length > 0 ? others : engines;
+        if (run.progress.eventCount >= minLongEvents) {
+            return fastest(candidates);
+        }
         const leastLoaded = candidates.reduce((best, engine) => loadOf(engine) < loadOf(best) ? engine : best);
         const preferred = candidates.find(engine => engine.target === this.groupTargets.get(run.task.group));
         return preferred !== undefined && loadOf(preferred) <= loadOf(leastLoaded) + groupAffinityLoadMargin
@@ -373,6 +387,15 @@
     return engine.service === terms.service && (engine.versionOf(job.model) ?? -1) >= job.minVersion;
 }
 
+/** The engine at which one more run probably generates fastest: a busy one is slower by up to a fifth. */
+function fastest(engines: readonly EngineCapacity[]): EngineCapacity {
+    const known = engines.flatMap(({ usualGapMs }) => usualGapMs ?? []);
+    const averageGapMs = known.reduce((sum, gapMs) => sum + gapMs, 0) / Math.max(1, known.length) || 1;
+    const gapOf = ({ usualGapMs = averageGapMs, running, slots, speed }: EngineCapacity): number =>
+        usualGapMs * (1 + maxLoadSlowdown * (running + 1) / slots) / Math.min(1, speed);
+    return engines.reduce((best, engine) => gapOf(engine) < gapOf(best) ? engine : best);
+}
+
 /** Load of an engine with one more task, as a share of its slots, weighted by its speed. */
 function loadOf(engine: EngineCapacity): number {
     return (engine.running + 1) / engine.slots / engine.speed;
--- a/packages/core/src/lib/jobs/jobFixtures.test.ts
+++ b/packages/core/src/lib/jobs/jobFixtures.test.ts
@@ -72,6 +72,7 @@
         running: 0,
         versionOf: () => 1 as WeightVersion,
         speed: 1,
+        usualGapMs: undefined,
         ...changes,
     };
 }
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -9,6 +9,7 @@
     type Clock,
     type EngineCapacity,
     type Instant,
+    type Job,
     type JobScheduler,
     type MovableRun,
     PaceTracker,
@@ -56,6 +57,9 @@
  */
 const minLongRunEvents = 15;
 
+/** Weight of the newest step in the average work of a model's steps. */
+const workSmoothingFactor = 0.3;
+
 /** Milliseconds between checks for runs that should move to another engine. */
 const moveIntervalMs = 150;
 
@@ -78,6 +82,8 @@
     private readonly runs = new Map<TaskRun, RunningTask>();
     private readonly paceTracker = new PaceTracker();
     private readonly backoff = new EngineBackoff();
+    /** Smoothed sum of the expected tokens of a step, by model. */
+    private readonly workByModel = new Map<string, number>();
     private cancelDispatch: (() => void) | undefined;
     private cancelExpiry: (() => void) | undefined;
     private cancelMoves: (() => void) | undefined;
@@ -95,7 +101,10 @@
         private readonly clock: Clock,
         private readonly journal: Journal,
     ) {
-        registry.events.on("opened", () => this.dispatch());
+        registry.events.on("opened", open => {
+            this.recordWork(open.job);
+            this.dispatch();
+        });
         registry.events.on("stopped", runs => runs.forEach(run => this.stop(run)));
         view.events.on("changed", () => this.dispatch());
         versions.events.on("changed", () => this.dispatch());
@@ -106,6 +115,10 @@
         return this.runningCounts.get(target) ?? 0;
     }
 
+    workOf(model: string): number | undefined {
+        return this.workByModel.get(model);
+    }
+
     /** Whether any open job has a task that waits to run. */
     get hasWaiting(): boolean {
         return this.scheduler.open.some(open => open.waiting.length > 0);
@@ -182,6 +195,7 @@
                 running: this.runningAt(entry.target),
                 versionOf: model => this.versions.versionOf(entry, model, now),
                 speed: this.paceTracker.speedOf(entry.target, now),
+                usualGapMs: this.paceTracker.usualGapMs(entry.target),
             }];
         });
     }
@@ -269,6 +283,8 @@
             return;
         }
         const now = this.clock.now();
+        // The next check is scheduled first, so that an unexpected error in this one does not end them.
+        this.cancelMoves = this.clock.callAt(after(now, moveIntervalMs), () => this.moveRuns());
         const engines = this.engineCapacities();
         const available = engines.map(({ target, slots, running, speed }) => ({
             target,
@@ -303,7 +319,6 @@
             running.stop.abort();
         }
         this.upgradeRuns(runs.filter(({ run }) => this.runs.get(run)?.moved === undefined), engines, changing, now);
-        this.cancelMoves = this.clock.callAt(after(now, moveIntervalMs), () => this.moveRuns());
     }
 
     /** Moves the longest runs to engines that are faster for good, if no task waits for the slots there. */
@@ -319,11 +334,11 @@
         for (const open of this.scheduler.open) {
             const { model, minVersion } = open.job;
             const paced = engines.filter(engine => (engine.versionOf(model) ?? -1) >= minVersion)
-                .map(({ target, slots, running }) => ({
+                .map(({ target, slots, running, usualGapMs }) => ({
                     target,
                     slots,
                     freeSlots: slots - running,
-                    usualGapMs: this.paceTracker.usualGapMs(target),
+                    usualGapMs,
                 }));
             const own = runs.filter(({ run }) => run.job === open);
             for (const { run, to } of planUpgrades(own, paced, changing, now)) {
@@ -335,6 +350,12 @@
         }
     }
 
+    private recordWork({ model, tasks }: Job): void {
+        const work = tasks.reduce((sum, { expectedTokens, tokens }) => sum + (expectedTokens ?? tokens), 0);
+        const known = this.workByModel.get(model) ?? work;
+        this.workByModel.set(model, known + workSmoothingFactor * (work - known));
+    }
+
     private settle(run: TaskRun, entry: TargetEntryView, end: TaskRunOutcome, isTooOld: boolean): void {
         const now = this.clock.now();
         if (isTooOld && run.job.terms.singleVersion) {
@@ -373,11 +394,11 @@
         if (!this.isActive) {
             return;
         }
+        this.cancelExpiry = this.clock.callAt(after(this.clock.now(), expiryIntervalMs), () => this.expire());
         this.registry.dropEndedFromMemory();
         // Submission times are wall-clock times of other hosts, so they are compared with this host's wall clock.
         const wallNow = Date.now() as ReturnType<Clock["now"]>;
         this.scheduler.expire(wallNow).forEach(({ open, result }) => this.registry.addResult(open, result));
-        this.cancelExpiry = this.clock.callAt(after(this.clock.now(), expiryIntervalMs), () => this.expire());
     }
 
     /**
--- a/packages/rollout/src/lib/RewardRunner.test.ts
+++ b/packages/rollout/src/lib/RewardRunner.test.ts
@@ -136,6 +136,7 @@
         running: 0,
         versionOf: () => 1 as WeightVersion,
         speed: 1,
+        usualGapMs: undefined,
     };
     const runs = open.job.tasks.map(() => scheduler.next([engine], 0 as Instant)!.run);
     runs.forEach(run => {
--- a/packages/rollout/src/lib/StandbyTask.test.ts
+++ b/packages/rollout/src/lib/StandbyTask.test.ts
@@ -127,6 +127,7 @@
         running: 0,
         versionOf: () => 1 as WeightVersion,
         speed: 1,
+        usualGapMs: undefined,
     };
     const { run } = scheduler.next([engine], 0 as Instant)!;
     run.progress.append({ id: 1, data: "a" }, 1 as WeightVersion);
--- a/packages/rollout/src/lib/VersionTask.ts
+++ b/packages/rollout/src/lib/VersionTask.ts
@@ -23,6 +23,8 @@
 export interface EngineWork {
     /** Number of tasks that run at an engine. */
     runningAt(target: TargetId): number;
+    /** Expected tokens of a model's steps, or undefined before its first step. */
+    workOf(model: string): number | undefined;
     /** Moves an engine's long runs of a model that is about to change to other engines. */
     moveLongRuns(target: TargetId, model: string): void;
 }
@@ -94,6 +96,7 @@
             return;
         }
         const now = this.clock.now();
+        this.cancelPlanning = this.clock.callAt(after(now, planIntervalMs), () => this.runPlans());
         const engines = new Map<ServiceId, EngineState[]>();
         for (const entry of this.view.directory.targets) {
             if (entry.models.length > 0) {
@@ -104,11 +107,10 @@
             const plan = this.planOf(service);
             this.view.versions.forEach((version, model) => plan.name(model, version));
             if (this.conductor.term.canOrder(now)) {
-                plan.decide(states, now).forEach(order => void this.order(plan, order));
+                plan.decide(states, now, model => work.workOf(model)).forEach(order => void this.order(plan, order));
                 plan.enginesNeedingReport(states, now).forEach(target => void this.readReport(plan, target));
             }
         }
-        this.cancelPlanning = this.clock.callAt(after(now, planIntervalMs), () => this.runPlans());
     }
 
     private async order(plan: VersionPlan, order: VersionOrder): Promise<void> {
