--- a/packages/rollout/src/lib/RewardRunner.test.ts
+++ b/packages/rollout/src/lib/RewardRunner.test.ts
@@ -7,14 +7,9 @@
     type CallTargets,
     type ConfigRevision,
     type ForwardOutcome,
-    type GroupId,
     type Incarnation,
-    type Instant,
-    type Job,
     type JobId,
-    JobLog,
     JobScheduler,
-    type RewardCallId,
     type RouteId,
     type ServiceId,
     sleepUntil,
@@ -22,7 +17,6 @@
     type TaskId,
     type TaskResult,
     type TaskRun,
-    type WeightVersion,
     type ZoneId,
 } from "@tamarackpath/core";
 import { expect } from "chai";
@@ -31,9 +25,9 @@
 import { type JobRegistry, type JobRegistryEvents } from "./JobRegistry.js";
 import { noopJournal } from "./Journal.js";
 import { RewardRunner } from "./RewardRunner.js";
+import { addScoringJob } from "./scoringFixtures.test.js";
 
 const clock = createMonotonicClock();
-const engines = asId<ServiceId>("engines");
 const scorers = asId<ServiceId>("scorers");
 
 interface SentCall {
@@ -57,29 +51,6 @@
     return { kind: "answered", head: { status, signature, headers: [] }, body: new Uint8Array() };
 }
 
-function jobFixture(tasks: number): Job {
-    return {
-        id: asId<JobId>("j"),
-        host: "h",
-        path: "/p/",
-        submittedAt: 0 as Instant,
-        step: 0,
-        model: "m",
-        minVersion: 1 as WeightVersion,
-        targetGroups: 1,
-        tasks: Array.from({ length: tasks }, (unused, nth) => ({
-            id: asId<TaskId>(`t${nth}`),
-            group: asId<GroupId>("g"),
-            path: "/p/",
-            headers: {},
-            body: new Uint8Array(),
-            tokens: 1,
-            expectedTokens: undefined,
-            reward: { id: asId<RewardCallId>(`r${nth}`), host: "h", path: "/s/x", body: new Uint8Array([1]) },
-        })),
-    };
-}
-
 /** A view with one route to scorers `a` and `b`. */
 function viewFixture(): HostView {
     const view = new HostView(clock, noopJournal);
@@ -120,29 +91,7 @@
 /** A host whose `tasks` texts are complete. */
 function rewardFixture(tasks = 1): Fixture {
     const scheduler = new JobScheduler(() => 1);
-    const terms = {
-        service: engines,
-        maxAttempts: 1,
-        priority: 1,
-        singleVersion: false,
-        expiresAt: Infinity as Instant,
-        dueAt: 0 as Instant,
-    };
-    const open = scheduler.add(jobFixture(tasks), terms, new JobLog());
-    const engine = {
-        target: asId<TargetId>("e"),
-        service: engines,
-        slots: tasks,
-        running: 0,
-        versionOf: () => 1 as WeightVersion,
-        speed: 1,
-        usualGapMs: undefined,
-    };
-    const runs = open.job.tasks.map(() => scheduler.next([engine], 0 as Instant)!.run);
-    runs.forEach(run => {
-        run.progress.append({ id: 1, data: "text" }, 1 as WeightVersion);
-        scheduler.end(run, "completed", 0 as Instant);
-    });
+    const runs = addScoringJob(scheduler, Array.from({ length: tasks }, (unused, nth) => asId<TaskId>(`t${nth}`)));
     const results: TaskResult[] = [];
     const events = new Emittery<JobRegistryEvents>();
     const registry = { events, addResult: (unused: unknown, result: TaskResult) => results.push(result) };
--- a/packages/rollout/src/lib/StandbyTask.test.ts
+++ b/packages/rollout/src/lib/StandbyTask.test.ts
@@ -4,21 +4,14 @@
 import {
     after,
     asId,
-    type GroupId,
     type HostId,
-    type Instant,
     type JobId,
-    JobLog,
     JobScheduler,
     type PeerNetwork,
     type ProgressSnapshot,
-    type RewardCallId,
-    type ServiceId,
     sleepUntil,
     type StandbyUpdate,
-    type TargetId,
     type TaskId,
-    type TaskProgress,
     type UnlistedResult,
     type UnstoredWork,
     type WeightVersion,
@@ -28,6 +21,7 @@
 import { Left, Right } from "purify-ts";
 import { type JobRegistry } from "./JobRegistry.js";
 import { noopJournal } from "./Journal.js";
+import { addScoringJob } from "./scoringFixtures.test.js";
 import { StandbyTask } from "./StandbyTask.js";
 
 const clock = createMonotonicClock();
@@ -88,53 +82,6 @@
     return { textId, pieces, versions: [1 as WeightVersion], lastEventId, isComplete: false };
 }
 
-/** Opens a job whose only task waits for its score. */
-function addScoring(scheduler: JobScheduler, id: TaskId): TaskProgress {
-    const reward = { id: asId<RewardCallId>("r"), host: "h", path: "/s/", body: new Uint8Array() };
-    const job = {
-        id: asId<JobId>("j"),
-        host: "h",
-        path: "/p/",
-        submittedAt: 0 as Instant,
-        step: 0,
-        model: "m",
-        minVersion: 1 as WeightVersion,
-        targetGroups: 1,
-        tasks: [{
-            id,
-            group: asId<GroupId>("g"),
-            path: "/p/",
-            headers: {},
-            body: new Uint8Array(),
-            tokens: 1,
-            expectedTokens: undefined,
-            reward,
-        }],
-    };
-    const terms = {
-        service: asId<ServiceId>("s"),
-        maxAttempts: 3,
-        priority: 1,
-        singleVersion: false,
-        expiresAt: Infinity as Instant,
-        dueAt: Infinity as Instant,
-    };
-    scheduler.add(job, terms, new JobLog());
-    const engine = {
-        target: asId<TargetId>("e"),
-        service: terms.service,
-        slots: 1,
-        running: 0,
-        versionOf: () => 1 as WeightVersion,
-        speed: 1,
-        usualGapMs: undefined,
-    };
-    const { run } = scheduler.next([engine], 0 as Instant)!;
-    run.progress.append({ id: 1, data: "a" }, 1 as WeightVersion);
-    scheduler.end(run, "completed", 0 as Instant);
-    return run.progress;
-}
-
 describe("StandbyTask", () => {
     const task = asId<TaskId>("t");
     const conductor = asId<HostId>("c");
@@ -172,7 +119,7 @@
 
     it("copies a text that waits for its score whole, however short it is, and once", async () => {
         const { task: standby, scheduler, copies } = standbyFixture();
-        const progress = addScoring(scheduler, task);
+        const { progress } = addScoringJob(scheduler, [task])[0]!;
         standby.activate();
         expect(copies[0]!.texts).to.deep.equal([{ task, from: 0, text: progress.snapshot(0) }]);
         await sleepUntil(clock, after(clock.now(), 450));
