--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,6 +27,7 @@
 export * from "./lib/directory/TargetDirectory.js";
 export * from "./lib/findings.js";
 export * from "./lib/ids.js";
+export * from "./lib/jobs/enginePlacement.js";
 export * from "./lib/jobs/Job.js";
 export * from "./lib/jobs/JobLog.js";
 export * from "./lib/jobs/JobScheduler.js";
--- a/packages/core/src/lib/jobs/JobScheduler.test.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.test.ts
@@ -2,6 +2,7 @@
 
 import { expect } from "chai";
 import { asId, type GroupId, type Instant, type JobId, type WeightVersion } from "../ids.js";
+import { type EngineCapacity } from "./enginePlacement.js";
 import {
     engineFixture,
     jobFixture,
@@ -11,7 +12,7 @@
     termsFixture,
 } from "./jobFixtures.test.js";
 import { JobLog } from "./JobLog.js";
-import { type EngineCapacity, type TaskRun } from "./JobScheduler.js";
+import { type TaskRun } from "./JobScheduler.js";
 
 const now = 0 as Instant;
 const one = 1 as WeightVersion;
--- a/packages/core/src/lib/jobs/JobScheduler.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.ts
@@ -18,8 +18,10 @@
     type WeightVersion,
 } from "../ids.js";
 import { type TaskText } from "../ports/PeerRequests.js";
+import { chooseEngine, type EngineCapacity } from "./enginePlacement.js";
 import { type Job, type Task, type TaskResult } from "./Job.js";
 import { type JobLog } from "./JobLog.js";
+import { orderTasks } from "./taskOrder.js";
 import { type ProgressSnapshot, TaskProgress, type TextId } from "./TaskProgress.js";
 
 /** The settings that a job's tasks take from its route. */
@@ -34,21 +36,6 @@
     readonly dueAt: Instant;
 }
 
-/** An engine with its slots and its load, as input to scheduling. */
-export interface EngineCapacity {
-    readonly target: TargetId;
-    readonly service: ServiceId;
-    readonly slots: number;
-    /** Number of tasks that this host runs there. */
-    readonly running: number;
-    /** The version of a model that the engine serves, or undefined while it serves none. */
-    readonly versionOf: (model: string) => WeightVersion | undefined;
-    /** Relative speed: 1 for an engine at full speed, less for a slower one. */
-    readonly speed: number;
-    /** Milliseconds between events of a run there while it has little other work; undefined while that is unknown. */
-    readonly usualGapMs: number | undefined;
-}
-
 /** A task that runs or waits to run. */
 export interface TaskRun {
     readonly task: Task;
@@ -87,27 +74,12 @@
 /** How a run ended. After "broken" the next run resumes after the text read so far. */
 export type RunEnd = "completed" | "failed" | "impossible" | "broken" | "not-run";
 
-/**
- * How much higher an engine's load may be than the lowest load, as a share of its slots, to keep a group together
- * there.
- */
-const groupAffinityLoadMargin = 0.25;
-
 /** Milliseconds before a task is scheduled again, by how its run ended. */
 const retryDelayMs = { "not-run": 60, "broken": 20, "failed": 50 } as const;
 
-/**
- * Number of events from which a run that is placed again goes to the fastest engine, since its step probably waits for
- * it.
- */
-const minLongEvents = 15;
-
 /** Number of events by which another host's copy of a text must be longer for a run to be restarted from it. */
 const minInheritedEvents = 8;
 
-/** Share by which a run is slower at an engine whose slots are all taken. */
-const maxLoadSlowdown = 0.2;
-
 /** Maximum number of tasks whose text is kept for a later job that submits them again. */
 const maxRetainedTexts = 1500;
 
@@ -247,7 +219,8 @@
                 continue;
             }
             for (const run of open.waiting) {
-                const engine = run.notBefore <= now ? this.choose(run, available) : undefined;
+                const groupTarget = this.groupTargets.get(run.task.group);
+                const engine = run.notBefore <= now ? chooseEngine(run, available, groupTarget) : undefined;
                 if (engine !== undefined) {
                     this.start(run, engine);
                     return { run, target: engine.target };
@@ -322,23 +295,6 @@
         }
     }
 
-    private choose(run: TaskRun, engines: readonly EngineCapacity[]): EngineCapacity | undefined {
-        const meant = engines.find(engine => engine.target === run.preferredTarget);
-        if (meant !== undefined) {
-            return meant;
-        }
-        const others = engines.filter(engine => engine.target !== run.lastFailedTarget);
-        const candidates = others.length > 0 ? others : engines;
-        if (run.progress.eventCount >= minLongEvents) {
-            return fastest(candidates);
-        }
-        const leastLoaded = candidates.reduce((best, engine) => loadOf(engine) < loadOf(best) ? engine : best);
-        const preferred = candidates.find(engine => engine.target === this.groupTargets.get(run.task.group));
-        return preferred !== undefined && loadOf(preferred) <= loadOf(leastLoaded) + groupAffinityLoadMargin
-            ? preferred
-            : leastLoaded;
-    }
-
     private finish(run: TaskRun, state: TaskResult["state"], score: string | undefined): TaskResult {
         this.retainedTexts.delete(run.task.id);
         return resultOf(run, state, score);
@@ -386,35 +342,3 @@
 function canServe(engine: EngineCapacity, { job, terms }: OpenJob): boolean {
     return engine.service === terms.service && (engine.versionOf(job.model) ?? -1) >= job.minVersion;
 }
-
-/** The engine at which one more run probably generates fastest: a busy one is slower by up to a fifth. */
-function fastest(engines: readonly EngineCapacity[]): EngineCapacity {
-    const known = engines.flatMap(({ usualGapMs }) => usualGapMs ?? []);
-    const averageGapMs = known.reduce((sum, gapMs) => sum + gapMs, 0) / Math.max(1, known.length) || 1;
-    const gapOf = ({ usualGapMs = averageGapMs, running, slots, speed }: EngineCapacity): number =>
-        usualGapMs * (1 + maxLoadSlowdown * (running + 1) / slots) / Math.min(1, speed);
-    return engines.reduce((best, engine) => gapOf(engine) < gapOf(best) ? engine : best);
-}
-
-/** Load of an engine with one more task, as a share of its slots, weighted by its speed. */
-function loadOf(engine: EngineCapacity): number {
-    return (engine.running + 1) / engine.slots / engine.speed;
-}
-
-/**
- * The tasks in the order in which they run. Of the groups that the trainer waits for, the longest go first. The longest
- * groups beyond that number go last, the shortest of them first, since the trainer probably does not wait for them.
- */
-function orderTasks(job: Job): readonly Task[] {
-    const groups = new Map<GroupId, Task[]>();
-    for (const task of job.tasks) {
-        groups.set(task.group, [...groups.get(task.group) ?? [], task]);
-    }
-    const all = [...groups.values()];
-    const maxTokensOf = (tasks: readonly Task[]): number =>
-        Math.max(...tasks.map(task => task.expectedTokens ?? task.tokens));
-    const byLength = [...all].sort((a, b) => maxTokensOf(b) - maxTokensOf(a));
-    const surplus = new Set(byLength.slice(0, Math.max(0, all.length - job.targetGroups)));
-    return [...byLength.filter(tasks => !surplus.has(tasks)), ...byLength.filter(tasks => surplus.has(tasks)).reverse()]
-        .flat();
-}
--- a/packages/core/src/lib/jobs/jobFixtures.test.ts
+++ b/packages/core/src/lib/jobs/jobFixtures.test.ts
@@ -11,8 +11,9 @@
     type TaskId,
     type WeightVersion,
 } from "../ids.js";
+import { type EngineCapacity } from "./enginePlacement.js";
 import { type Job, type RewardCall, type Task } from "./Job.js";
-import { type EngineCapacity, JobScheduler, type JobTerms } from "./JobScheduler.js";
+import { JobScheduler, type JobTerms } from "./JobScheduler.js";
 
 export function schedulerFixture(): JobScheduler {
     let serial = 0;
