--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,7 +17,7 @@
 
 /** Headers, paths and document names of the users' platform. Code outside platform/ must not contain them. */
 const platformNames = String
-    .raw`/^tamarackpath-(deadline|response|expect|weight|not-exec|instance|wait|model|token|prompt|pin|hold|request|length|kv)|^\/tamarackpath\/|^op\/|^servers\//i`;
+    .raw`/^tamarackpath-(deadline|response|expect|weight|not-exec|instance|wait|model|token|prompt|pin|hold|request|length|kv)|^server-limit|^\/tamarackpath\/|^op\/|^servers\//i`;
 
 const platformNamesStayInside = {
     files: ["packages/**/*.ts", "apps/**/*.ts"],
--- a/packages/core/src/lib/ports/RolloutTargets.ts
+++ b/packages/core/src/lib/ports/RolloutTargets.ts
@@ -10,6 +10,7 @@
 import { type Instant, type WeightVersion } from "../ids.js";
 import { type Task } from "../jobs/Job.js";
 import { type StreamEvent } from "../jobs/TaskProgress.js";
+import { type TargetResponse } from "../limits/RateLimitTable.js";
 import { type KeyValueFailure } from "./KeyValue.js";
 
 /** The request to an engine to run a task. */
@@ -44,6 +45,9 @@
     readonly versions: readonly { readonly model: string; readonly version: WeightVersion; }[];
 }
 
+/** Receives the head of each valid response of a target or engine as it arrives, before the response ends. */
+export type TargetResponseListener = (response: TargetResponse) => void;
+
 /** Client of the engines. */
 export interface RolloutEngines {
     /** Runs a task. `onEvent` returns false to stop the run. */
--- a/packages/rollout/src/lib/CallForwarder.ts
+++ b/packages/rollout/src/lib/CallForwarder.ts
@@ -25,6 +25,7 @@
 } from "@tamarackpath/core";
 import { type HostView } from "./HostView.js";
 import { type Journal } from "./Journal.js";
+import { type RequestPermits } from "./RequestPermits.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
 
 /** The final answer to a call. */
@@ -64,6 +65,7 @@
         zone: ZoneId,
         private readonly view: HostView,
         private readonly targets: CallTargets,
+        private readonly permits: RequestPermits,
         private readonly random: () => number,
         private readonly clock: Clock,
         private readonly journal: Journal,
@@ -130,6 +132,7 @@
         signal: AbortSignal,
     ): Promise<ForwardOutcome> {
         const startedAt = this.now();
+        const limitAtStart = this.permits.describe(target);
         this.targetSelector.recordStart(target.target);
         const end = await this.targets.send(
             target,
@@ -147,6 +150,7 @@
             call: call.id,
             target: target.target,
             viewAgeMs: this.view.ageMs,
+            ...limitAtStart,
             end: end.kind,
             detail: "detail" in end ? end.detail : undefined,
             status: end.kind === "answered" ? end.head.status : undefined,
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -29,6 +29,7 @@
 import { type HostView } from "./HostView.js";
 import { type JobRegistry } from "./JobRegistry.js";
 import { type Journal } from "./Journal.js";
+import { type RequestPermits } from "./RequestPermits.js";
 import { type RewardRunner } from "./RewardRunner.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
 import { type VersionTask } from "./VersionTask.js";
@@ -97,6 +98,7 @@
         private readonly view: HostView,
         private readonly versions: VersionTask,
         private readonly rewards: RewardRunner,
+        private readonly permits: RequestPermits,
         private readonly engines: RolloutEngines,
         private readonly clock: Clock,
         private readonly journal: Journal,
@@ -225,6 +227,7 @@
             after: resumedAfter,
             viewAgeMs: this.view.ageMs,
             running: this.runningAt(target),
+            ...this.permits.describe(entry),
         });
         let isTooOld = false;
         const end = await this.engines.run(
--- a/packages/rollout/src/lib/RewardRunner.test.ts
+++ b/packages/rollout/src/lib/RewardRunner.test.ts
@@ -24,6 +24,7 @@
 import { HostView } from "./HostView.js";
 import { type JobRegistry, type JobRegistryEvents } from "./JobRegistry.js";
 import { noopJournal } from "./Journal.js";
+import { RequestPermits } from "./RequestPermits.js";
 import { RewardRunner } from "./RewardRunner.js";
 import { addScoringJob } from "./scoringFixtures.test.js";
 
@@ -115,6 +116,7 @@
         registry as unknown as JobRegistry,
         viewFixture(),
         targets,
+        new RequestPermits(clock, noopJournal),
         () => 0.5,
         clock,
         noopJournal,
--- a/packages/rollout/src/lib/RewardRunner.ts
+++ b/packages/rollout/src/lib/RewardRunner.ts
@@ -22,6 +22,7 @@
 import { type HostView } from "./HostView.js";
 import { type JobRegistry } from "./JobRegistry.js";
 import { type Journal } from "./Journal.js";
+import { type RequestPermits } from "./RequestPermits.js";
 
 /** Upper limit in bytes of a scoring service's answer, of which only the head is used. */
 const maxAnswerBytes = 1_048_576;
@@ -39,6 +40,7 @@
         private readonly registry: JobRegistry,
         private readonly view: HostView,
         private readonly targets: CallTargets,
+        private readonly permits: RequestPermits,
         private readonly random: () => number,
         private readonly clock: Clock,
         private readonly journal: Journal,
@@ -82,6 +84,7 @@
         const stop = new AbortController();
         const stops = this.stops.get(run) ?? new Set();
         this.stops.set(run, stops.add(stop));
+        const limitAtStart = this.permits.describe(target);
         let isOverdue = false;
         const cancelTimeout = this.clock.callAt(deadline, () => {
             isOverdue = true;
@@ -114,6 +117,7 @@
             failures: this.queue.failuresOf(run),
             step,
             viewAgeMs: this.view.ageMs,
+            ...limitAtStart,
             ms: now - startedAt,
         });
         if (step === "list" || step === "give-up") {
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -14,6 +14,7 @@
     type PlatformDocuments,
     type RolloutEngines,
     sleepUntil,
+    type TargetResponse,
     type TransactionalStore,
     type UnstoredWork,
     type ZoneId,
@@ -28,6 +29,7 @@
 import { JobStore } from "./JobStore.js";
 import { type Journal } from "./Journal.js";
 import { LiveKeyWatch } from "./LiveKeyWatch.js";
+import { RequestPermits } from "./RequestPermits.js";
 import { RewardRunner } from "./RewardRunner.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
 import { StandbyTask } from "./StandbyTask.js";
@@ -84,6 +86,7 @@
     private readonly versions: VersionTask;
     private readonly standby: StandbyTask;
     private readonly watch: LiveKeyWatch;
+    private readonly permits: RequestPermits;
     private isStopping = false;
 
     constructor(
@@ -94,6 +97,7 @@
         const { store, documents, engines, targets, peers, clock, random, journal } = ports;
         const { self, zone, seeds, hasCallers } = identity;
         this.view = new HostView(clock, journal);
+        this.permits = new RequestPermits(clock, journal);
         const delay = hasCallers ? claimDelayMs.withCallers : claimDelayMs.withoutCallers;
         this.conductor = new ConductorTask(
             {
@@ -128,6 +132,7 @@
             this.registry,
             this.view,
             targets,
+            this.permits,
             random,
             clock,
             journal,
@@ -140,6 +145,7 @@
             this.view,
             this.versions,
             this.rewards,
+            this.permits,
             engines,
             clock,
             journal,
@@ -176,7 +182,16 @@
             clock,
             journal,
         );
-        this.forwarder = new CallForwarder(settings, zone, this.view, targets, random, clock, journal);
+        this.forwarder = new CallForwarder(
+            settings,
+            zone,
+            this.view,
+            targets,
+            this.permits,
+            random,
+            clock,
+            journal,
+        );
         this.conductor.events.on("claimed", () => this.beginConducting());
         // This host may regain a lapsed claim, so its jobs continue until another host is known to hold the claim.
         this.conductor.events.on("lost", () => this.watch.deactivate());
@@ -221,6 +236,11 @@
         this.endConducting();
     }
 
+    /** Receives the head of each response of a target, as the adapters of the ports report it. */
+    recordResponse(response: TargetResponse): void {
+        this.permits.recordResponse(response);
+    }
+
     /** State of the host, for the dump. */
     describe(): object {
         const { view, conductor, scheduler } = this;
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -26,6 +26,8 @@
     "version-ordered": "An engine was ordered to change its weights, and how that ended.",
     "order-refused": "An engine refused an order, with its reason.",
     "engine-report": "An engine's own report was read.",
+    "rate-limit-changed": "A target states another rate limit, or none any more.",
+    "rate-limit-rejected": "A target stated a rate limit that is not a number; the last valid one stays in force.",
     "target-resting": "A target is not used for a backoff time after a fault.",
     "job-kept": "A job is stored and will be run.",
     "job-refused": "A job was refused; nothing of it runs.",
