--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -180,7 +180,7 @@
             }
             void this.run(next);
         }
-        this.scheduleDispatch();
+        this.scheduleDispatch(now);
     }
 
     private engineCapacities(): readonly EngineCapacity[] {
@@ -405,19 +405,19 @@
     }
 
     /**
-     * Schedules the next dispatch for when a delayed task, an engine in backoff or a changing engine becomes available.
+     * Schedules the dispatch after the one at `now`, for when a delayed task, an engine in backoff or a changing engine
+     * becomes available. A later time would miss a delay that has ended since.
      */
-    private scheduleDispatch(): void {
+    private scheduleDispatch(now: Instant): void {
         this.cancelDispatch?.();
         this.cancelDispatch = undefined;
         if (!this.hasWaiting) {
             return;
         }
-        const now = this.clock.now();
         const times = [this.scheduler.nextRetryAt(now), this.backoff.nextRetryAt(now), this.versions.nextReadyAt(now)]
             .filter(at => at !== undefined);
         if (times.length > 0) {
-            this.cancelDispatch = this.clock.callAt(after(Math.min(...times) as typeof now, 1), () => this.dispatch());
+            this.cancelDispatch = this.clock.callAt(after(Math.min(...times) as Instant, 1), () => this.dispatch());
         }
     }
 }
--- a/packages/rollout/src/lib/RewardRunner.test.ts
+++ b/packages/rollout/src/lib/RewardRunner.test.ts
@@ -5,6 +5,7 @@
     after,
     asId,
     type CallTargets,
+    type Clock,
     type ConfigRevision,
     type ForwardOutcome,
     type Incarnation,
@@ -27,10 +28,14 @@
 import { RequestPermits } from "./RequestPermits.js";
 import { RewardRunner } from "./RewardRunner.js";
 import { addScoringJob } from "./scoringFixtures.test.js";
+import { createSteppingClock } from "./steppingClock.test.js";
 
 const clock = createMonotonicClock();
 const scorers = asId<ServiceId>("scorers");
 
+/** Milliseconds within which a call is repeated: the longest delay after an attempt, and the route's timeout of another. */
+const maxRepeatMs = 640 + 250 + 110;
+
 interface SentCall {
     readonly id: string;
     readonly target: TargetId;
@@ -90,7 +95,7 @@
 }
 
 /** A host whose `tasks` texts are complete. */
-function rewardFixture(tasks = 1): Fixture {
+function rewardFixture(tasks = 1, ownClock: Clock = clock): Fixture {
     const scheduler = new JobScheduler(() => 1);
     const runs = addScoringJob(scheduler, Array.from({ length: tasks }, (unused, nth) => asId<TaskId>(`t${nth}`)));
     const results: TaskResult[] = [];
@@ -116,9 +121,9 @@
         registry as unknown as JobRegistry,
         viewFixture(),
         targets,
-        new RequestPermits(clock, noopJournal),
+        new RequestPermits(ownClock, noopJournal),
         () => 0.5,
-        clock,
+        ownClock,
         noopJournal,
     );
     return { scheduler, rewards, events, runs, sent, results };
@@ -128,6 +133,14 @@
     return sleepUntil(clock, after(clock.now(), ms));
 }
 
+/** The last call that was sent, once it is one that has not timed out. */
+async function untilInFlight(sent: readonly SentCall[]): Promise<SentCall> {
+    while (sent.at(-1)!.signal.aborted) {
+        await pause(5);
+    }
+    return sent.at(-1)!;
+}
+
 describe("RewardRunner", () => {
     it("lists a task's result with the signature of its own call's answer", async () => {
         const { rewards, sent, results } = rewardFixture(2);
@@ -162,13 +175,18 @@
             { kind: "unknown", detail: "The worker answered another request." },
             { kind: "streamed" },
         ];
-        for (const [nth, outcome] of outcomes.entries()) {
-            sent[nth]!.answer(outcome);
-            await pause(400);
-            expect(sent.length).to.be.greaterThan(nth + 1);
+        for (const outcome of outcomes) {
+            const attempt = await untilInFlight(sent);
+            attempt.answer(outcome);
+            const sentBefore = sent.length;
+            const until = after(clock.now(), maxRepeatMs);
+            while (sent.length === sentBefore && clock.now() < until) {
+                await pause(5);
+            }
+            expect(sent.length).to.be.greaterThan(sentBefore);
         }
         expect(results).to.deep.equal([]);
-        sent.at(-1)!.answer(answered(200, "s"));
+        (await untilInFlight(sent)).answer(answered(200, "s"));
         await pause(5);
         expect(results.map(({ score }) => score)).to.deep.equal(["s"]);
     });
@@ -207,6 +225,22 @@
         expect(sent[2]!.isOnNewConnection).to.equal(true);
     });
 
+    it("repeats a call although its delay ends while the delay is checked", async () => {
+        const stepMs = 0.25;
+        for (let earlyMs = 0; earlyMs <= 4; earlyMs += stepMs) {
+            const ownClock = createSteppingClock(stepMs);
+            const { rewards, sent } = rewardFixture(1, ownClock);
+            rewards.activate();
+            sent[0]!.answer({ kind: "not-run", detail: "full", reached: true });
+            await new Promise(resolve => setImmediate(resolve));
+            for (let nth = 0; nth < 20 && sent.length < 2; nth++) {
+                ownClock.runNextTimer(earlyMs);
+                await new Promise(resolve => setImmediate(resolve));
+            }
+            expect(sent.length, `timers ${earlyMs} ms early`).to.equal(2);
+        }
+    });
+
     it("stops the call of an ended job, and drops its late score", async () => {
         const { scheduler, rewards, events, sent, results } = rewardFixture();
         rewards.activate();
--- a/packages/rollout/src/lib/RewardRunner.ts
+++ b/packages/rollout/src/lib/RewardRunner.ts
@@ -10,6 +10,7 @@
     type Clock,
     drawService,
     type ForwardOutcome,
+    type Instant,
     type JobScheduler,
     type RewardAttempt,
     type RewardAttemptEnd,
@@ -70,13 +71,14 @@
         if (!this.isActive) {
             return;
         }
+        const now = this.clock.now();
         const { open } = this.scheduler;
         this.queue.removeEnded(open);
         if (open.some(({ scoring }) => scoring.size > 0)) {
-            this.queue.start(open, call => this.routeOf(call), this.clock.now())
+            this.queue.start(open, call => this.routeOf(call), now)
                 .forEach(attempt => void this.send(attempt));
         }
-        this.scheduleDispatch();
+        this.scheduleDispatch(now);
     }
 
     private async send(attempt: RewardAttempt): Promise<void> {
@@ -151,9 +153,9 @@
         };
     }
 
-    private scheduleDispatch(): void {
+    /** Schedules the next dispatch after the one at `now`; a later time would miss a delay that has ended since. */
+    private scheduleDispatch(now: Instant): void {
         this.cancelDispatch?.();
-        const now = this.clock.now();
         const at = this.queue.nextStartAt(now);
         this.cancelDispatch = at === undefined ? undefined : this.clock.callAt(after(at, 1), () => this.dispatch());
     }
