--- /dev/null
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -0,0 +1,360 @@
+/** Builders of a few hosts in one process, with a network between them and targets that the test counts requests of. */
+
+import {
+    after,
+    asId,
+    type Clock,
+    type ConfigRevision,
+    type ForwardOutcome,
+    type GroupId,
+    type HostId,
+    type Incarnation,
+    type Instant,
+    type Job,
+    type JobId,
+    type KeyValueFailure,
+    type LeaseId,
+    type PeerHandler,
+    type PeerNetwork,
+    type PeerRequestName,
+    type RateLimitStatement,
+    type RewardCallId,
+    type Route,
+    type RouteId,
+    type RouteKind,
+    type ServiceId,
+    sleepUntil,
+    type StoredChanges,
+    type StoreLease,
+    type TargetEntryView,
+    type TargetId,
+    type TaskId,
+    type TaskRunOutcome,
+    type WeightVersion,
+    type ZoneId,
+} from "@tamarackpath/core";
+import { type Either, Left, Right } from "purify-ts";
+import { type CallAnswer } from "./CallForwarder.js";
+import { type Journal, type JournalValue, noopJournal } from "./Journal.js";
+import { MemoryTransactionalStore } from "./MemoryStore.test.js";
+import { RolloutHost } from "./RolloutHost.js";
+import { defaultRolloutSettings } from "./RolloutSettings.js";
+
+/** A store whose leases run on the fleet's clock, and whose watches wait. */
+class FleetStore extends MemoryTransactionalStore {
+    constructor(private readonly clock: Clock) {
+        super();
+    }
+
+    override async grantLease(): Promise<Either<KeyValueFailure, StoreLease>> {
+        return Right({ id: "lease" as LeaseId, deadline: after(this.clock.now(), 60_000) });
+    }
+
+    override async renewLease(id: LeaseId): Promise<Either<KeyValueFailure, StoreLease | undefined>> {
+        return Right({ id, deadline: after(this.clock.now(), 60_000) });
+    }
+
+    override async changes(): Promise<Either<KeyValueFailure, StoredChanges>> {
+        await sleepUntil(this.clock, after(this.clock.now(), 500));
+        return super.changes();
+    }
+}
+
+/** A request that reached a target. */
+export interface Arrival {
+    readonly target: TargetId;
+    readonly path: "send" | "run" | "order" | "report";
+    readonly host: HostId;
+    readonly id: string;
+    readonly at: Instant;
+}
+
+/** How a target answers; the outcome of a call or run follows after `ms`. */
+export interface TargetBehaviour {
+    readonly ms: number;
+    readonly rateLimit: RateLimitStatement;
+    readonly call?: ForwardOutcome;
+    readonly run?: TaskRunOutcome;
+}
+
+/** A line of a host's journal. */
+export interface JournalLine {
+    readonly event: string;
+    readonly fields: Readonly<Record<string, JournalValue>>;
+}
+
+export interface FleetOptions {
+    readonly hosts: number;
+    readonly targets: readonly TargetEntryView[];
+    /** The newest version of the model; the engines report 1. */
+    readonly version?: number;
+    readonly behaviour: (target: TargetId, arrival: Arrival) => TargetBehaviour;
+}
+
+export interface Fleet {
+    readonly hosts: readonly RolloutHost[];
+    readonly arrivals: Arrival[];
+    readonly lines: JournalLine[];
+    /** Cuts the links of a host to all others, or heals them. */
+    readonly setCut: (host: number, isCut: boolean) => void;
+    readonly conductor: () => RolloutHost | undefined;
+    readonly call: (host: number, options?: CallOptions) => Promise<CallAnswer>;
+    readonly submit: (job: Job) => Promise<string>;
+    readonly pause: (ms: number) => Promise<void>;
+    readonly stop: () => void;
+}
+
+export interface CallOptions {
+    readonly path?: string;
+    readonly body?: string;
+    readonly headers?: readonly string[];
+    readonly kind?: RouteKind;
+    readonly timeoutMs?: number;
+}
+
+export const plainService = asId<ServiceId>("plain");
+export const engineService = asId<ServiceId>("engines");
+
+export function targetFixture(name: string, service: ServiceId, slots = 6): TargetEntryView {
+    const models = service === engineService ? [{ model: "m", version: 1 as WeightVersion }] : [];
+    return {
+        target: asId<TargetId>(name),
+        service,
+        address: "10.0.0.1:80",
+        zone: asId<ZoneId>("z"),
+        slots,
+        leaving: false,
+        incarnation: 1 as Incarnation,
+        models,
+    };
+}
+
+/** A job of `size` tasks, with a reward call each if `hasRewards`. */
+export function fleetJobFixture(id: string, size: number, hasRewards = false): Job {
+    return {
+        id: asId<JobId>(id),
+        host: "h",
+        path: "/jobs/",
+        submittedAt: Date.now() as Instant,
+        step: 0,
+        model: "m",
+        minVersion: 1 as WeightVersion,
+        targetGroups: 1,
+        tasks: Array.from({ length: size }, (unused, nth) => ({
+            id: asId<TaskId>(`${id}-${nth}`),
+            group: asId<GroupId>(`${id}-${nth >> 2}`),
+            path: "/jobs/",
+            headers: {},
+            body: new Uint8Array([nth]),
+            tokens: 10,
+            expectedTokens: undefined,
+            reward: hasRewards
+                ? { id: asId<RewardCallId>(`${id}-r${nth}`), host: "h", path: "/calls/", body: new Uint8Array([1]) }
+                : undefined,
+        })),
+    };
+}
+
+function routeFixture(kind: RouteKind, prefix: string, service: ServiceId): Route {
+    return {
+        id: asId<RouteId>(kind),
+        host: "h",
+        prefix,
+        kind,
+        services: [{ service, weight: 1 }],
+        timeoutMs: 1500,
+        targetLatencyMs: 180,
+        priority: 1,
+        maxAttempts: 2,
+        resumable: false,
+        taskTtlMs: 60_000,
+        jobTargetMs: 30_000,
+        singleVersion: false,
+    };
+}
+
+const callPrefixes: Record<Exclude<RouteKind, "jobs">, string> = {
+    "idempotent": "/calls/",
+    "non-idempotent": "/once/",
+    "streaming": "/streams/",
+};
+
+/** Starts hosts that share a store and targets, and resolves once one of them conducts and all others follow it. */
+export async function startFleet(
+    clock: Clock,
+    { hosts: size, targets, version, behaviour }: FleetOptions,
+): Promise<Fleet> {
+    const store = new FleetStore(clock);
+    const ids = Array.from({ length: size }, (unused, nth) => asId<HostId>(`h${nth}`));
+    const handlers = new Map<HostId, Map<string, PeerHandler<PeerRequestName>>>();
+    const cut = new Set<HostId>();
+    const arrivals: Arrival[] = [];
+    const lines: JournalLine[] = [];
+    const hostsById = new Map<HostId, RolloutHost>();
+    const pause = (ms: number): Promise<void> => sleepUntil(clock, after(clock.now(), ms));
+
+    const createPeers = (self: HostId): PeerNetwork => {
+        const own = new Map<string, PeerHandler<PeerRequestName>>();
+        handlers.set(self, own);
+        return {
+            handle: (name: string, handler: PeerHandler<PeerRequestName>) => own.set(name, handler),
+            setAddress: () => undefined,
+            removeAddress: () => undefined,
+            onLinkEnd: () => undefined,
+            describe: () => [],
+            close: async () => undefined,
+            ask: async (host: HostId, name: string, ask: never, deadline: Instant) => {
+                await pause(1);
+                const handler = handlers.get(host)?.get(name);
+                const isCut = (): boolean => cut.has(self) || cut.has(host);
+                if (handler === undefined || isCut()) {
+                    await sleepUntil(clock, deadline);
+                    return Left({ reason: "no-answer", detail: "cut" });
+                }
+                const answer = await Promise.race([handler(ask, self), sleepUntil(clock, deadline)]);
+                return answer === undefined || isCut()
+                    ? Left({ reason: "no-answer", detail: "late" })
+                    : Right(answer);
+            },
+        } as unknown as PeerNetwork;
+    };
+
+    /** Counts a request at a target, and reports the head of its response half-way. */
+    const reach = async (
+        host: HostId,
+        entry: TargetEntryView,
+        path: Arrival["path"],
+        id: string,
+    ): Promise<TargetBehaviour> => {
+        const sentAt = clock.now();
+        await pause(1);
+        const arrival = { target: entry.target, path, host, id, at: clock.now() };
+        arrivals.push(arrival);
+        const does = behaviour(entry.target, arrival);
+        await pause(does.ms / 2);
+        hostsById.get(host)!.recordResponse({ target: entry, sentAt, rateLimit: does.rateLimit });
+        await pause(does.ms / 2);
+        return does;
+    };
+    const untilAborted = (signal: AbortSignal): Promise<{ readonly kind: "cancelled"; }> =>
+        new Promise(resolve => signal.addEventListener("abort", () => resolve({ kind: "cancelled" })));
+    const answered: ForwardOutcome = {
+        kind: "answered",
+        head: { status: 200, signature: "s", headers: [] },
+        body: new Uint8Array(),
+    };
+
+    const routes = [
+        ...Object.entries(callPrefixes).map(([kind, prefix]) => routeFixture(kind as RouteKind, prefix, plainService)),
+        routeFixture("jobs", "/jobs/", engineService),
+    ];
+    const config = {
+        revision: 1 as ConfigRevision,
+        routes,
+        services: [plainService, engineService].map(id => ({
+            id,
+            healthPath: "/",
+            maxConnections: 100,
+            engine: id === engineService ? { slots: 6, memoryTokens: 100_000, models: ["m"] } : undefined,
+        })),
+        limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    };
+    const operator = {
+        config,
+        versions: version === undefined ? [] : [{ model: "m", version: version as WeightVersion }],
+        retiring: [],
+    };
+    for (const self of ids) {
+        const journal: Journal = {
+            log: (event, fields = {}) => {
+                lines.push({ event, fields: { host: self, ...fields } });
+                noopJournal.log(event, fields);
+            },
+        };
+        const host = new RolloutHost(
+            { self, name: self, zone: asId<ZoneId>("z"), seeds: ids.filter(id => id !== self), hasCallers: true },
+            defaultRolloutSettings,
+            {
+                store,
+                documents: {
+                    readOperator: async () => Right(operator),
+                    awaitOperatorChange: async waitMs => {
+                        await pause(waitMs / 4);
+                        return Right(operator);
+                    },
+                    readTargets: async () => Right(targets),
+                    confirmRetired: async () => Right(undefined),
+                },
+                engines: {
+                    run: async (entry, { task }, onEvent, signal) => {
+                        const run = async (): Promise<TaskRunOutcome> => {
+                            const { run: outcome } = await reach(self, entry, "run", task.id);
+                            onEvent({ id: 1, data: "text" }, 1 as WeightVersion);
+                            return outcome ?? { kind: "completed" };
+                        };
+                        return Promise.race([run(), untilAborted(signal)]);
+                    },
+                    order: async entry => {
+                        await reach(self, entry, "order", "order");
+                        return "accepted";
+                    },
+                    report: async entry => {
+                        await reach(self, entry, "report", "report");
+                        const versions = [{ model: "m", version: 1 as WeightVersion }];
+                        return Right({ isBusy: false, orders: 0, versions });
+                    },
+                    closeUnlisted: () => undefined,
+                },
+                targets: {
+                    send: async (entry, { id }, unused, signal) => {
+                        const send = async (): Promise<ForwardOutcome> =>
+                            (await reach(self, entry, "send", id)).call ?? answered;
+                        return Promise.race([send(), untilAborted(signal)]);
+                    },
+                },
+                peers: createPeers(self),
+                clock,
+                random: Math.random,
+                journal,
+            },
+        );
+        hostsById.set(self, host);
+    }
+    const hosts = [...hostsById.values()];
+    const conductor = (): RolloutHost | undefined => hosts.find(host => host.conductor.isConductor);
+    hosts.forEach(host => host.start());
+    const isReady = ({ view, conductor: { conductor: known } }: RolloutHost): boolean =>
+        view.routes !== undefined && known !== undefined;
+    while (conductor() === undefined || !hosts.every(isReady)) {
+        await pause(20);
+    }
+    let serial = 0;
+    return {
+        hosts,
+        arrivals,
+        lines,
+        conductor,
+        pause,
+        setCut: (host, isCut) => void (isCut ? cut.add(ids[host]!) : cut.delete(ids[host]!)),
+        call: (host, { path, body = "", headers = [], kind = "idempotent", timeoutMs = 1500 } = {}) => {
+            const fullPath = path ?? callPrefixes[kind as keyof typeof callPrefixes];
+            const { routes: table } = hosts[host]!.view;
+            const call = {
+                id: `c${++serial}`,
+                method: "POST",
+                path: fullPath,
+                host: "h",
+                headers,
+                body: Buffer.from(body),
+            };
+            const handler = kind === "streaming"
+                ? { onHead: () => undefined, onChunk: async () => undefined }
+                : undefined;
+            const deadline = after(clock.now(), timeoutMs);
+            const never = new AbortController().signal;
+            return hosts[host]!.forwarder.forward(table!.find("h", fullPath)!, call, deadline, handler, never);
+        },
+        submit: async job => (await hosts[0]!.jobCalls.submit(job, after(clock.now(), 2000))).outcome,
+        stop: () => hosts.forEach(host => host.stop()),
+    };
+}
