--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -39,6 +39,8 @@
 export * from "./lib/keyvalue/keyValueLoad.js";
 export * from "./lib/keyvalue/KeyValuePurpose.js";
 export * from "./lib/limits/RateLimitTable.js";
+export * from "./lib/limits/RequestPacer.js";
+export * from "./lib/limits/RequestPermit.js";
 export * from "./lib/membership/FactMap.js";
 export * from "./lib/membership/GossipQueue.js";
 export * from "./lib/membership/LeavingTargetRegistry.js";
--- a/packages/core/src/lib/calls/CallAttempts.ts
+++ b/packages/core/src/lib/calls/CallAttempts.ts
@@ -44,6 +44,11 @@
         return this.possibleRuns > 0;
     }
 
+    /** Whether an attempt has not ended. */
+    get isInFlight(): boolean {
+        return this.attemptsInFlight > 0;
+    }
+
     /** Whether another attempt may begin beside those in flight. */
     get canHedge(): boolean {
         return canRepeat[this.route.kind](this.route) && this.possibleRuns < this.route.maxAttempts;
--- a/packages/core/src/lib/calls/TargetSelector.ts
+++ b/packages/core/src/lib/calls/TargetSelector.ts
@@ -49,6 +49,23 @@
             : pool.reduce((best, entry) => this.cost(entry, now) < this.cost(best, now) ? entry : best);
     }
 
+    /** The targets in the order in which a call prefers them. */
+    rank(targets: readonly TargetEntryView[], tried: readonly TargetId[], now: Instant): readonly TargetEntryView[] {
+        const usable = targets.filter(target => !target.leaving).map(entry => ({
+            entry,
+            isTried: tried.includes(entry.target),
+            cost: this.cost(entry, now),
+        }));
+        return usable.sort((a, b) => Number(a.isTried) - Number(b.isTried) || a.cost - b.cost)
+            .map(({ entry }) => entry);
+    }
+
+    /** Whether a target is not backing off and has fewer of this host's calls than slots. */
+    hasRoom({ target, slots }: TargetEntryView, now: Instant): boolean {
+        const { backoffUntil, attemptsInFlight } = this.statsOf(target);
+        return backoffUntil <= now && attemptsInFlight < slots;
+    }
+
     recordStart(target: TargetId): void {
         this.statsOf(target).attemptsInFlight++;
     }
--- a/packages/core/src/lib/jobs/RewardQueue.ts
+++ b/packages/core/src/lib/jobs/RewardQueue.ts
@@ -87,11 +87,15 @@
         this.selector = new TargetSelector(zone);
     }
 
-    /** Attempts to start at `now`. They count as in flight from this call on, until `end` is called for each. */
+    /**
+     * Attempts to start at `now`. They count as in flight from this call on, until `end` is called for each.
+     * `availableAt` returns how many more requests a target's rate limit permits at `now`.
+     */
     start(
         jobs: readonly OpenJob[],
         routeOf: (call: RewardCall, job: OpenJob) => RewardRoute | undefined,
         now: Instant,
+        availableAt: (target: TargetEntryView) => number = () => Infinity,
     ): readonly RewardAttempt[] {
         const attempts: RewardAttempt[] = [];
         const runs = orderCalls(jobs);
@@ -106,7 +110,18 @@
             }
             const call = run.task.reward!;
             const route = routeOf(call, run.job);
-            const target = route === undefined ? undefined : this.choose(route.targets, state, now);
+            const isLimited = (entry: TargetEntryView): boolean => availableAt(entry) < Infinity;
+            const startedAt = (entry: TargetEntryView): number =>
+                attempts.filter(({ target: { target } }) => target === entry.target).length;
+            const targets = route?.targets ?? [];
+            // Targets with a rate limit come last, and get no second attempts while others may wait for theirs.
+            const target = this.choose(targets.filter(entry => !isLimited(entry)), state, now) ?? (isHedge
+                ? undefined
+                : this.choose(
+                    targets.filter(entry => isLimited(entry) && startedAt(entry) < availableAt(entry)),
+                    state,
+                    now,
+                ));
             if (route !== undefined && target !== undefined) {
                 attempts.push(this.begin(run, call, state, route, target, now));
             }
--- a/packages/core/src/lib/limits/RateLimitTable.ts
+++ b/packages/core/src/lib/limits/RateLimitTable.ts
@@ -25,6 +25,12 @@
     readonly receivedAt: Instant;
 }
 
+/** A record as it is sent to another host, whose clock differs. */
+export interface RateLimitReport extends Omit<RateLimitRecord, "sentAt" | "receivedAt"> {
+    readonly sentAgeMs: number;
+    readonly receivedAgeMs: number;
+}
+
 /** A response of a target, with what it states. */
 export interface TargetResponse {
     readonly target: TargetEntryView;
@@ -42,6 +48,13 @@
 /** The last valid statement of each target that has stated a limit. */
 export class RateLimitTable {
     private readonly records = new Map<TargetId, RateLimitRecord>();
+    private readonly revisions = new Map<TargetId, number>();
+    private number = 0;
+
+    /** Increases with each change of a limit. */
+    get revision(): number {
+        return this.number;
+    }
 
     /** The limit of a target's running incarnation, or undefined when it states none. */
     get({ target, incarnation }: Pick<TargetEntryView, "target" | "incarnation">): RateLimitRecord | undefined {
@@ -53,6 +66,17 @@
         return [...this.records.values()];
     }
 
+    /** The last statement of a target's running incarnation, which may be that it has no limit any more. */
+    find({ target, incarnation }: Pick<TargetEntryView, "target" | "incarnation">): RateLimitRecord | undefined {
+        const known = this.records.get(target);
+        return known?.incarnation === incarnation ? known : undefined;
+    }
+
+    /** The records whose limit changed after `revision`. */
+    changesSince(revision: number): readonly RateLimitRecord[] {
+        return this.all.filter(({ target }) => this.revisions.get(target)! > revision);
+    }
+
     /** Merges a record; the order in which records are merged does not matter once a later response decides. */
     merge(next: RateLimitRecord): RateLimitChange {
         const known = this.records.get(next.target);
@@ -70,8 +94,13 @@
                 break;
             }
             this.records.delete(oldest);
+            this.revisions.delete(oldest);
         }
         const isSame = known?.perSecond === next.perSecond && known?.incarnation === next.incarnation;
+        if (!isSame) {
+            this.number++;
+            this.revisions.set(next.target, this.number);
+        }
         return isSame ? "confirmed" : "changed";
     }
 }
--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -13,12 +13,14 @@
     type JobId,
     type ServiceId,
     type StepId,
+    type TargetId,
     type TaskId,
     type WeightVersion,
     type ZoneId,
 } from "../ids.js";
 import { type Job, type ResultPage, type TaskResult } from "../jobs/Job.js";
 import { type ProgressSnapshot } from "../jobs/TaskProgress.js";
+import { type RateLimitReport } from "../limits/RateLimitTable.js";
 import { type GossipMessage } from "../membership/MemberRecord.js";
 import { type SyncMessage } from "../membership/membershipMessages.js";
 import { type ZoneMessage } from "../membership/ZoneDirectory.js";
@@ -139,6 +141,10 @@
     readonly ageMs: number | undefined;
     /** Undefined when this view is the one that the request names in `have`. */
     readonly content: { readonly operator: OperatorView; readonly targets: readonly TargetEntryView[]; } | undefined;
+    /** The rate limits that changed after the revision that the request names in `haveLimits`. */
+    readonly limits?: { readonly number: number; readonly reports: readonly RateLimitReport[]; };
+    /** Number of hosts that pull this view, including the conductor. */
+    readonly hosts?: number;
 }
 
 /** A task's result that is not listed yet: the write that appends it to the job's results is not confirmed. */
@@ -198,6 +204,27 @@
     readonly unknown: true;
 }
 
+/** Asks for a permit for one request to a target with a rate limit. */
+export interface PermitRequest {
+    /** The route of the request. */
+    readonly flow: string;
+    /** What the sender knows of the targets that it may send the request to, the preferred ones first. */
+    readonly reports: readonly RateLimitReport[];
+    /** Milliseconds for which the request may wait. */
+    readonly latestInMs: number;
+    /** Whether the request is only to show if the target still states its limit. */
+    readonly isTrial: boolean;
+}
+
+/** The conductor's response to a request for a permit, with what it knows of the same targets. */
+export type PermitResponse =
+    & { readonly reports: readonly RateLimitReport[]; }
+    & (
+        | { readonly permitted: { readonly target: TargetId; readonly inMs: number; }; }
+        /** Milliseconds until a request that gets no permit may be sent again. */
+        | { readonly retryInMs: number; }
+    );
+
 /** Parameters (`ask`) and response (`answer`) of each request between peers. */
 export interface PeerRequests {
     "member-probe": { readonly ask: GossipMessage; readonly answer: GossipMessage; };
@@ -233,9 +260,22 @@
     };
     /** Returns the conductor's view of the platform's documents; waits for a limited time for one newer than `have`. */
     "view-pull": {
-        readonly ask: { readonly have: number; readonly zone: ZoneId; readonly hasCallers: boolean; };
+        readonly ask: {
+            readonly have: number;
+            /** Revision of the rate limits; undefined at a host that does not pull them. */
+            readonly haveLimits?: number;
+            readonly zone: ZoneId;
+            readonly hasCallers: boolean;
+        };
         readonly answer: ConductorView;
     };
+    /** Reports the rate limits that targets stated to the sender. */
+    "rate-limits": {
+        readonly ask: { readonly reports: readonly RateLimitReport[]; };
+        readonly answer: Record<string, never>;
+    };
+    /** Asks the conductor for a permit for one request to one of the targets in `reports`. */
+    "request-permit": { readonly ask: PermitRequest; readonly answer: PermitResponse; };
     /** Replicates unlisted results and unfinished texts to a standby, so that they survive a loss of the conductor. */
     "standby-keep": { readonly ask: StandbyUpdate; readonly answer: Record<string, never>; };
     /** Sends the state that a standby keeps to a new conductor. */
--- a/packages/core/src/lib/ports/RolloutTargets.ts
+++ b/packages/core/src/lib/ports/RolloutTargets.ts
@@ -11,6 +11,7 @@
 import { type Task } from "../jobs/Job.js";
 import { type StreamEvent } from "../jobs/TaskProgress.js";
 import { type TargetResponse } from "../limits/RateLimitTable.js";
+import { type RequestPermit } from "../limits/RequestPermit.js";
 import { type KeyValueFailure } from "./KeyValue.js";
 
 /** The request to an engine to run a task. */
@@ -22,6 +23,7 @@
     readonly afterEvent: number | undefined;
     /** Maximum number of connections from this host to the engine. */
     readonly maxConnections: number;
+    readonly permit: RequestPermit;
 }
 
 /**
@@ -58,8 +60,14 @@
         signal: AbortSignal,
     ): Promise<TaskRunOutcome>;
     /** Orders an engine to load a version; `holder` and `fence` identify the conductor and its term. */
-    order(engine: TargetEntryView, order: VersionOrder, holder: string, fence: number): Promise<VersionOrderEnd>;
-    report(engine: TargetEntryView): Promise<Either<string, EngineSelfReport>>;
+    order(
+        engine: TargetEntryView,
+        order: VersionOrder,
+        holder: string,
+        fence: number,
+        permit: RequestPermit,
+    ): Promise<VersionOrderEnd>;
+    report(engine: TargetEntryView, permit: RequestPermit): Promise<Either<string, EngineSelfReport>>;
     /** Closes the connections to targets that are not in `listed`. */
     closeUnlisted(listed: readonly TargetEntryView[]): void;
 }
@@ -106,6 +114,7 @@
         call: ForwardedCall,
         options: {
             readonly deadline: Instant;
+            readonly permit: RequestPermit;
             readonly maxConnections: number;
             /** Whether to open a connection for this request only, as for requests that must not run twice. */
             readonly shouldUseNewConnection: boolean;
--- a/packages/rollout/src/index.ts
+++ b/packages/rollout/src/index.ts
@@ -3,5 +3,6 @@
 export * from "./lib/CallForwarder.js";
 export * from "./lib/Journal.js";
 export * from "./lib/journalEvents.js";
+export { permitOutcomes } from "./lib/RequestPermits.js";
 export * from "./lib/RolloutHost.js";
 export * from "./lib/RolloutSettings.js";
--- a/packages/rollout/src/lib/CallForwarder.ts
+++ b/packages/rollout/src/lib/CallForwarder.ts
@@ -14,6 +14,7 @@
     type ForwardOutcome,
     type Instant,
     msUntil,
+    type RequestPermit,
     type ResponseHead,
     type Route,
     type ServiceId,
@@ -42,6 +43,16 @@
     /** The caller closed its connection. */
     | { readonly kind: "left"; };
 
+/** The target of the next attempt, with a permit that is valid from `at` on, or why there is none. */
+export type TargetChoice =
+    | {
+        readonly kind: "target";
+        readonly target: TargetEntryView;
+        readonly permit: RequestPermit;
+        readonly at: Instant;
+    }
+    | { readonly kind: "none"; readonly reason: string; readonly retryAfterMs: number; };
+
 /** Milliseconds after which a refused caller should retry; the list of targets is read again by then. */
 const refusalRetryAfterMs = 400;
 
@@ -53,6 +64,12 @@
 /** Milliseconds between retries while targets refuse work, multiplied by the number of refusals. */
 const refusalRetryDelayMs = 25;
 
+/**
+ * Share of a route's target latency for which a call waits for a permit. A call that would wait longer is refused at
+ * once, so that the caller may return when there is room.
+ */
+const maxPermitWaitShare = 0.5;
+
 /** Refusals by targets after which the caller gets a refusal with a retry time. */
 const maxRefusals = 6;
 
@@ -107,8 +124,60 @@
         return this.view.directory.targets.filter(entry => entry.service === service);
     }
 
-    chooseTarget(service: ServiceId, tried: CallAttempts["triedTargets"]): TargetEntryView | undefined {
-        return this.targetSelector.choose(this.targetsOf(service), tried, this.clock.now());
+    /** Chooses a target without a rate limit; requests to others need a permit, which takes time. */
+    chooseUnlimited(service: ServiceId, tried: CallAttempts["triedTargets"]): TargetEntryView | undefined {
+        const unlimited = this.targetsOf(service).filter(entry => !this.permits.isLimited(entry));
+        return this.targetSelector.choose(unlimited, tried, this.clock.now());
+    }
+
+    /**
+     * Chooses the target of the next attempt. Targets that state a rate limit are chosen when no other has room, and one
+     * call is sent there when no response has shown for some time that the limit is still stated.
+     */
+    async chooseTarget(
+        route: Route,
+        service: ServiceId,
+        tried: CallAttempts["triedTargets"],
+        deadline: Instant,
+    ): Promise<TargetChoice> {
+        const unlimited = this.chooseUnlimited(service, tried);
+        const limited = this.targetSelector.rank(
+            this.targetsOf(service).filter(entry => this.permits.isLimited(entry)),
+            tried,
+            this.now(),
+        );
+        const other: TargetChoice | undefined = unlimited === undefined
+            ? undefined
+            : { kind: "target", target: unlimited, permit: this.permits.take(unlimited, route.id), at: this.now() };
+        if (limited.length === 0) {
+            return other ?? { kind: "none", reason: "No target is known.", retryAfterMs: refusalRetryAfterMs };
+        }
+        const hasRoom = unlimited !== undefined && !tried.includes(unlimited.target)
+            && this.targetSelector.hasRoom(unlimited, this.now());
+        const candidates = hasRoom ? limited.filter(entry => this.permits.isUnconfirmed(entry)) : limited;
+        if (candidates.length === 0) {
+            return other!;
+        }
+        const waitMs = hasRoom ? 0 : route.targetLatencyMs * maxPermitWaitShare;
+        const latestAt = Math.min(deadline, after(this.now(), waitMs)) as Instant;
+        const outcome = await this.permits.acquire(candidates, route.id, latestAt, hasRoom);
+        const target = outcome.kind === "permitted"
+            ? candidates.find(entry => entry.target === outcome.permit.target)
+            : undefined;
+        if (outcome.kind === "permitted" && target !== undefined) {
+            return { kind: "target", target, permit: outcome.permit, at: outcome.at };
+        }
+        return other ?? {
+            kind: "none",
+            reason: `The rate limits of all targets leave no room: ${
+                candidates.map(each => this.describe(each)).join()
+            }.`,
+            retryAfterMs: outcome.kind === "refused" ? Math.max(1, msUntil(outcome.retryAt, this.now())) : 1,
+        };
+    }
+
+    permitFor(target: TargetEntryView, route: Route): RequestPermit {
+        return this.permits.take(target, route.id);
     }
 
     now(): Instant {
@@ -125,6 +194,7 @@
 
     async attempt(
         target: TargetEntryView,
+        permit: RequestPermit,
         route: Route,
         call: ForwardedCall,
         deadline: Instant,
@@ -139,6 +209,7 @@
             call,
             {
                 deadline,
+                permit,
                 maxConnections: this.view.routes?.service(target.service)?.maxConnections ?? 1,
                 shouldUseNewConnection: route.kind === "non-idempotent",
                 streamHandler,
@@ -159,6 +230,11 @@
         return end;
     }
 
+    private describe(entry: TargetEntryView): string {
+        const { limitPerSecond, limitAgeMs } = this.permits.describe(entry);
+        return `${entry.target} ${limitPerSecond ?? "no limit"}/s stated ${Math.round(limitAgeMs ?? 0)} ms ago`;
+    }
+
     private recordEnd({ target }: TargetEntryView, end: ForwardOutcome, ms: number): void {
         const isBusy = end.kind === "not-run" && end.reached;
         if (end.kind === "cancelled" || isBusy) {
@@ -199,7 +275,7 @@
         return new Promise(resolve => {
             this.settle = resolve;
             void this.watchDeadline();
-            this.next();
+            void this.next();
             void this.hedge();
         });
     }
@@ -219,30 +295,51 @@
             return;
         }
         await this.forwarder.pauseUntil(this.forwarder.hedgeAt(this.route), this.cancel.signal);
-        const other = this.forwarder.chooseTarget(this.service, this.attempts.triedTargets);
+        const other = this.forwarder.chooseUnlimited(this.service, this.attempts.triedTargets);
         const isOther = other !== undefined && !this.attempts.triedTargets.includes(other.target);
         if (!this.cancel.signal.aborted && isOther && this.attempts.canHedge) {
-            this.next();
+            void this.attempt(other, this.forwarder.permitFor(other, this.route));
         }
     }
 
-    private next(): void {
-        const target = this.forwarder.chooseTarget(this.service, this.attempts.triedTargets);
-        if (target === undefined) {
-            this.finish(
-                this.attempts.mayHaveRun
-                    ? { kind: "failed", reason: this.lastDetail, late: false }
-                    : refusedWith("No target is known."),
-            );
+    private async next(): Promise<void> {
+        const { triedTargets, deadline } = this.attempts;
+        const choice = await this.forwarder.chooseTarget(this.route, this.service, triedTargets, deadline);
+        if (choice.kind === "none") {
+            this.finishWithoutTarget(choice.reason, choice.retryAfterMs);
             return;
         }
-        void this.attempt(target);
+        if (choice.at > this.forwarder.now()) {
+            await this.forwarder.pauseUntil(choice.at, this.cancel.signal);
+        }
+        if (this.cancel.signal.aborted) {
+            return;
+        }
+        if (!choice.permit.isValid(this.forwarder.now())) {
+            // The process was paused since the permit was given.
+            await this.next();
+            return;
+        }
+        await this.attempt(choice.target, choice.permit);
+    }
+
+    /** Ends the call, unless an attempt in flight may still answer it. */
+    private finishWithoutTarget(reason: string, retryAfterMs: number): void {
+        if (this.attempts.isInFlight) {
+            return;
+        }
+        this.finish(
+            this.bestAnswer ?? (this.attempts.mayHaveRun
+                ? { kind: "failed", reason: `${this.lastDetail} ${reason}`, late: false }
+                : refusedWith(reason, retryAfterMs)),
+        );
     }
 
-    private async attempt(target: TargetEntryView): Promise<void> {
+    private async attempt(target: TargetEntryView, permit: RequestPermit): Promise<void> {
         this.attempts.recordStart(target.target);
         const end = await this.forwarder.attempt(
             target,
+            permit,
             this.route,
             this.call,
             this.attempts.deadline,
@@ -298,7 +395,7 @@
             );
         }
         if (!this.cancel.signal.aborted && msUntil(this.attempts.deadline, this.forwarder.now()) > 0) {
-            this.next();
+            await this.next();
         }
     }
 
@@ -320,6 +417,6 @@
     }
 }
 
-function refusedWith(reason: string): CallAnswer {
-    return { kind: "refused", reason, retryAfterMs: refusalRetryAfterMs };
+function refusedWith(reason: string, retryAfterMs: number = refusalRetryAfterMs): CallAnswer {
+    return { kind: "refused", reason, retryAfterMs };
 }
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -64,6 +64,9 @@
 /** Milliseconds between checks for runs that should move to another engine. */
 const moveIntervalMs = 150;
 
+/** Name of the runs of tasks among the requests to engines with a rate limit. */
+const tasksFlow = "tasks";
+
 /** A run at an engine. */
 interface RunningTask {
     readonly target: TargetId;
@@ -190,11 +193,12 @@
             if (spec?.engine === undefined || entry.leaving || this.backoff.isBackingOff(entry, now)) {
                 return [];
             }
+            const running = this.runningAt(entry.target);
             return [{
                 target: entry.target,
                 service: entry.service,
-                slots: slotsOf(entry, spec),
-                running: this.runningAt(entry.target),
+                slots: Math.min(slotsOf(entry, spec), running + this.permits.available(entry, tasksFlow, now)),
+                running,
                 versionOf: model => this.versions.versionOf(entry, model, now),
                 speed: this.paceTracker.speedOf(entry.target, now),
                 usualGapMs: this.paceTracker.usualGapMs(entry.target),
@@ -232,7 +236,13 @@
         let isTooOld = false;
         const end = await this.engines.run(
             entry,
-            { task: run.task, host: job.host, afterEvent: resumedAfter, maxConnections: slotsOf(entry, spec) },
+            {
+                task: run.task,
+                host: job.host,
+                afterEvent: resumedAfter,
+                maxConnections: slotsOf(entry, spec),
+                permit: this.permits.take(entry, tasksFlow),
+            },
             (event, version) => {
                 this.recordEvent(running);
                 if (!run.progress.versions.includes(version)) {
@@ -414,8 +424,12 @@
         if (!this.hasWaiting) {
             return;
         }
-        const times = [this.scheduler.nextRetryAt(now), this.backoff.nextRetryAt(now), this.versions.nextReadyAt(now)]
-            .filter(at => at !== undefined);
+        const times = [
+            this.scheduler.nextRetryAt(now),
+            this.backoff.nextRetryAt(now),
+            this.versions.nextReadyAt(now),
+            ...this.permits.nextTimes(this.view.directory.targets, tasksFlow, now),
+        ].filter(at => at !== undefined);
         if (times.length > 0) {
             this.cancelDispatch = this.clock.callAt(after(Math.min(...times) as Instant, 1), () => this.dispatch());
         }
--- a/packages/rollout/src/lib/RewardRunner.test.ts
+++ b/packages/rollout/src/lib/RewardRunner.test.ts
@@ -25,7 +25,7 @@
 import { HostView } from "./HostView.js";
 import { type JobRegistry, type JobRegistryEvents } from "./JobRegistry.js";
 import { noopJournal } from "./Journal.js";
-import { RequestPermits } from "./RequestPermits.js";
+import { permitsFixture } from "./permitsFixtures.test.js";
 import { RewardRunner } from "./RewardRunner.js";
 import { addScoringJob } from "./scoringFixtures.test.js";
 import { createSteppingClock } from "./steppingClock.test.js";
@@ -121,7 +121,7 @@
         registry as unknown as JobRegistry,
         viewFixture(),
         targets,
-        new RequestPermits(ownClock, noopJournal),
+        permitsFixture(undefined, ownClock),
         () => 0.5,
         ownClock,
         noopJournal,
--- a/packages/rollout/src/lib/RewardRunner.ts
+++ b/packages/rollout/src/lib/RewardRunner.ts
@@ -17,6 +17,7 @@
     type RewardCall,
     RewardQueue,
     type RewardRoute,
+    type TargetEntryView,
     type TaskRun,
     type ZoneId,
 } from "@tamarackpath/core";
@@ -28,6 +29,9 @@
 /** Upper limit in bytes of a scoring service's answer, of which only the head is used. */
 const maxAnswerBytes = 1_048_576;
 
+/** Name of reward calls among the requests to targets with a rate limit. */
+const rewardsFlow = "rewards";
+
 /** Sends reward calls. */
 export class RewardRunner {
     private readonly queue: RewardQueue;
@@ -75,7 +79,8 @@
         const { open } = this.scheduler;
         this.queue.removeEnded(open);
         if (open.some(({ scoring }) => scoring.size > 0)) {
-            this.queue.start(open, call => this.routeOf(call), now)
+            const available = (target: TargetEntryView): number => this.permits.available(target, rewardsFlow, now);
+            this.queue.start(open, call => this.routeOf(call), now, available)
                 .forEach(attempt => void this.send(attempt));
         }
         this.scheduleDispatch(now);
@@ -97,6 +102,7 @@
             { id: call.id, method: "POST", path: call.path, host: call.host, headers: [], body: call.body },
             {
                 deadline,
+                permit: this.permits.take(target, rewardsFlow),
                 maxConnections: this.view.routes?.service(target.service)?.maxConnections ?? 1,
                 shouldUseNewConnection: isRepeatAtTarget,
                 streamHandler: undefined,
@@ -156,8 +162,14 @@
     /** Schedules the next dispatch after the one at `now`; a later time would miss a delay that has ended since. */
     private scheduleDispatch(now: Instant): void {
         this.cancelDispatch?.();
-        const at = this.queue.nextStartAt(now);
-        this.cancelDispatch = at === undefined ? undefined : this.clock.callAt(after(at, 1), () => this.dispatch());
+        const isWaiting = this.scheduler.open.some(({ scoring }) => scoring.size > 0);
+        const times = [
+            this.queue.nextStartAt(now),
+            ...isWaiting ? this.permits.nextTimes(this.view.directory.targets, rewardsFlow, now) : [],
+        ].filter(at => at !== undefined);
+        this.cancelDispatch = times.length === 0
+            ? undefined
+            : this.clock.callAt(after(Math.min(...times) as Instant, 1), () => this.dispatch());
     }
 }
 
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -86,7 +86,7 @@
     private readonly versions: VersionTask;
     private readonly standby: StandbyTask;
     private readonly watch: LiveKeyWatch;
-    private readonly permits: RequestPermits;
+    readonly permits: RequestPermits;
     private isStopping = false;
 
     constructor(
@@ -97,7 +97,6 @@
         const { store, documents, engines, targets, peers, clock, random, journal } = ports;
         const { self, zone, seeds, hasCallers } = identity;
         this.view = new HostView(clock, journal);
-        this.permits = new RequestPermits(clock, journal);
         const delay = hasCallers ? claimDelayMs.withCallers : claimDelayMs.withoutCallers;
         this.conductor = new ConductorTask(
             {
@@ -111,6 +110,7 @@
             clock,
             journal,
         );
+        this.permits = new RequestPermits(this.conductor, peers, clock, journal);
         const jobs = new JobStore(store, clock);
         this.scheduler = new JobScheduler(() => Math.floor(random() * Number.MAX_SAFE_INTEGER));
         this.registry = new JobRegistry(
@@ -125,7 +125,16 @@
             clock,
             journal,
         );
-        this.versions = new VersionTask(settings, identity.name, this.view, this.conductor, engines, clock, journal);
+        this.versions = new VersionTask(
+            settings,
+            identity.name,
+            this.view,
+            this.conductor,
+            this.permits,
+            engines,
+            clock,
+            journal,
+        );
         this.rewards = new RewardRunner(
             zone,
             this.scheduler,
@@ -168,6 +177,7 @@
             { settings, seeds, zone, hasCallers },
             this.view,
             this.conductor,
+            this.permits,
             documents,
             peers,
             clock,
@@ -203,6 +213,7 @@
         });
         this.view.events.on("changed", () => {
             engines.closeUnlisted(this.view.directory.targets);
+            this.permits.retain(this.view.directory.targets);
             void this.registry.applyRoutes();
             void this.confirmRetired();
         });
--- a/packages/rollout/src/lib/VersionTask.ts
+++ b/packages/rollout/src/lib/VersionTask.ts
@@ -17,6 +17,7 @@
 import { type ConductorTask } from "./ConductorTask.js";
 import { type HostView } from "./HostView.js";
 import { type Journal } from "./Journal.js";
+import { type RequestPermits } from "./RequestPermits.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
 
 /** The tasks that run at engines, as the version plans use them. */
@@ -37,6 +38,9 @@
 /** Milliseconds between runs of the plans. */
 const planIntervalMs = 60;
 
+/** Name of orders and reports among the requests to engines with a rate limit. */
+const ordersFlow = "orders";
+
 /** Keeps a version plan for each service and sends its orders. */
 export class VersionTask {
     readonly events = new Emittery<VersionEvents>();
@@ -50,6 +54,7 @@
         private readonly self: string,
         private readonly view: HostView,
         private readonly conductor: ConductorTask,
+        private readonly permits: RequestPermits,
         private readonly engines: RolloutEngines,
         private readonly clock: Clock,
         private readonly journal: Journal,
@@ -122,7 +127,13 @@
         plan.recordSent(order);
         this.work?.moveLongRuns(order.target, order.model);
         this.conductor.term.recordOrder(this.clock.now());
-        const end = await this.engines.order(entry, order, this.self, claim.fence);
+        const end = await this.engines.order(
+            entry,
+            order,
+            this.self,
+            claim.fence,
+            this.permits.take(entry, ordersFlow),
+        );
         plan.recordEnd(order, end, this.clock.now());
         this.journal.log("version-ordered", {
             target: order.target,
@@ -141,8 +152,12 @@
         if (entry === undefined || this.pendingReports.has(target)) {
             return;
         }
+        if (this.permits.available(entry, ordersFlow, this.clock.now()) < 1) {
+            // The plan asks for the report again until it has one.
+            return;
+        }
         this.pendingReports.add(target);
-        const res = await this.engines.report(entry);
+        const res = await this.engines.report(entry, this.permits.take(entry, ordersFlow));
         this.pendingReports.delete(target);
         res.ifRight(report => {
             plan.recordReport(
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -18,6 +18,7 @@
 import { type HostView } from "./HostView.js";
 import { type Journal } from "./Journal.js";
 import { repeatUntil } from "./repeatUntil.js";
+import { type RequestPermits } from "./RequestPermits.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
 import { type Follower } from "./StandbyTask.js";
 
@@ -72,23 +73,32 @@
     private missedPulls = 0;
     private readonly followersByHost = new Map<HostId, Follower & { readonly at: Instant; }>();
     /** The conductor from which a view was last pulled, and the revision of that view. */
-    private lastPulledView: { readonly host: HostId; readonly number: number; } | undefined;
+    private lastPulledView: { readonly host: HostId; readonly number: number; readonly limits: number; } | undefined;
 
     constructor(
         private readonly options: ViewTaskOptions,
         private readonly view: HostView,
         private readonly conductor: ConductorTask,
+        private readonly permits: RequestPermits,
         private readonly documents: PlatformDocuments,
         private readonly peers: PeerNetwork,
         private readonly clock: Clock,
         private readonly journal: Journal,
     ) {
-        peers.handle("view-pull", async ({ have, zone, hasCallers }, from) => {
+        peers.handle("view-pull", async ({ have, haveLimits, zone, hasCallers }, from) => {
             this.followersByHost.set(from, { host: from, zone, hasCallers, at: clock.now() });
-            await this.waitForChange(have);
+            await this.waitForChange(have, haveLimits);
             const { revision, ageMs, operator } = view;
             const content = revision === have ? undefined : { operator, targets: view.directory.targets };
-            return Right({ number: revision, ageMs: conductor.isSure ? ageMs : undefined, content });
+            return Right({
+                number: revision,
+                ageMs: conductor.isSure ? ageMs : undefined,
+                content,
+                limits: haveLimits === undefined
+                    ? undefined
+                    : { number: permits.revision, reports: permits.changesSince(haveLimits) },
+                hosts: this.followers.length + 1,
+            });
         });
         peers.handle("conductor-ask", async () => {
             const { zone } = options;
@@ -214,14 +224,19 @@
     private async pull(host: HostId): Promise<boolean> {
         this.peers.setAddress(host, host);
         const { zone, hasCallers } = this.options;
-        const have = this.lastPulledView?.host === host ? this.lastPulledView.number : -1;
+        const last = this.lastPulledView?.host === host ? this.lastPulledView : undefined;
+        const ask = { have: last?.number ?? -1, haveLimits: last?.limits ?? -1, zone, hasCallers };
         const deadline = after(this.clock.now(), pullWaitMs + answerMarginMs);
-        const res = await this.peers.ask(host, "view-pull", { have, zone, hasCallers }, deadline);
+        const res = await this.peers.ask(host, "view-pull", ask, deadline);
         const shared = res.toMaybe().chain(answer => answer.toMaybe()).extract();
         if (shared?.ageMs === undefined) {
             return false;
         }
-        this.lastPulledView = { host, number: shared.number };
+        this.lastPulledView = { host, number: shared.number, limits: shared.limits?.number ?? -1 };
+        this.permits.adoptReports(shared.limits?.reports ?? []);
+        if (shared.hosts !== undefined) {
+            this.permits.setHostCount(shared.hosts);
+        }
         if (shared.content === undefined) {
             this.view.confirmTargets(shared.ageMs);
         }
@@ -263,15 +278,17 @@
         return answers.some(({ zone }) => zone !== this.options.zone);
     }
 
-    private waitForChange(have: number): Promise<void> {
-        if (this.view.revision !== have) {
+    private waitForChange(have: number, haveLimits: number | undefined): Promise<void> {
+        if (this.view.revision !== have || haveLimits !== undefined && this.permits.revision !== haveLimits) {
             return Promise.resolve();
         }
         return new Promise(resolve => {
             const off = this.view.events.on("changed", () => finish());
+            const offLimits = this.permits.onChange(() => finish());
             const cancel = this.clock.callAt(after(this.clock.now(), pullWaitMs), () => finish());
             const finish = (): void => {
                 off();
+                offLimits();
                 cancel();
                 resolve();
             };
--- a/packages/rollout/src/lib/jobRunnerFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRunnerFixtures.test.ts
@@ -24,7 +24,8 @@
 import { type JobRegistry, type JobRegistryEvents } from "./JobRegistry.js";
 import { JobRunner } from "./JobRunner.js";
 import { noopJournal } from "./Journal.js";
-import { RequestPermits } from "./RequestPermits.js";
+import { permitsFixture } from "./permitsFixtures.test.js";
+import { type RequestPermits } from "./RequestPermits.js";
 import { type RewardRunner } from "./RewardRunner.js";
 import { defaultRolloutSettings } from "./RolloutSettings.js";
 import { type VersionEvents, type VersionTask } from "./VersionTask.js";
@@ -97,7 +98,7 @@
         dropEndedFromMemory: () => undefined,
     } as unknown as JobRegistry;
     const scheduler = new JobScheduler(() => 1);
-    const permits = new RequestPermits(clock, noopJournal);
+    const permits = permitsFixture(undefined, clock);
     const runner = new JobRunner(
         defaultRolloutSettings,
         "self",
--- /dev/null
+++ b/packages/rollout/src/lib/permitsFixtures.test.ts
@@ -0,0 +1,24 @@
+/** Builders of request permits for the tests of this folder. */
+
+import { createMonotonicClock } from "@tamarackpath/adapters";
+import { type Clock, type PeerNetwork } from "@tamarackpath/core";
+import Emittery from "emittery";
+import { type ConductorEvents, type ConductorTask } from "./ConductorTask.js";
+import { noopJournal } from "./Journal.js";
+import { RequestPermits } from "./RequestPermits.js";
+
+/** The permits of a host that conducts, unless `isSure` says otherwise. */
+export function permitsFixture(
+    peers: PeerNetwork = { handle: () => undefined } as unknown as PeerNetwork,
+    clock: Clock = createMonotonicClock(),
+    isSure: () => boolean = () => true,
+): RequestPermits {
+    const conductor: Pick<ConductorTask, "conductor" | "isSure" | "events"> = {
+        conductor: undefined,
+        get isSure() {
+            return isSure();
+        },
+        events: new Emittery<ConductorEvents>(),
+    };
+    return new RequestPermits(conductor, peers, clock, noopJournal);
+}
--- a/packages/rollout/src/lib/rateLimits.test.ts
+++ b/packages/rollout/src/lib/rateLimits.test.ts
@@ -94,4 +94,70 @@
             expect(mostInWindow(fleet.arrivals, limited, first + 500)).to.be.at.most(maxInWindow(perSecond));
         });
     }
+
+    it("leave calls to targets without a limit while these have room", async function() {
+        this.timeout(20_000);
+        fleet = await startFleet(clock, {
+            hosts: 4,
+            targets: [targetFixture("limited", plainService), targetFixture("other", plainService)],
+            behaviour: target => ({
+                ms: target === limited ? 5 : 60,
+                rateLimit: target === limited ? { kind: "limit", perSecond: 1 } : { kind: "none" },
+            }),
+        });
+        const answers = await callSteadily(fleet, 20, 3000);
+        expect(new Set(answers)).to.deep.equal(new Set(["answered"]));
+        const first = fleet.arrivals.find(({ target }) => target === limited)!.at;
+        const later = fleet.arrivals.filter(({ target, at }) => target === limited && at > first + 300);
+        expect(later).to.deep.equal([]);
+    });
+
+    it("are used in full when all targets state one, and other calls are refused at once with a time to return", async function() {
+        this.timeout(20_000);
+        fleet = await startFleet(clock, {
+            hosts: 4,
+            targets: [targetFixture("limited", plainService), targetFixture("other", plainService)],
+            behaviour: () => ({ ms: 20, rateLimit: { kind: "limit", perSecond: 3 } }),
+        });
+        await callSteadily(fleet, 20, 1000);
+        const from = clock.now();
+        const calls: Promise<{ readonly ms: number; readonly kind: string; readonly retryAfterMs: number; }>[] = [];
+        for (let nth = 0; clock.now() < from + 4000; nth++) {
+            const startedAt = clock.now();
+            calls.push(
+                fleet.call(nth % 4).then(answer => ({
+                    ms: clock.now() - startedAt,
+                    kind: answer.kind,
+                    retryAfterMs: answer.kind === "refused" ? answer.retryAfterMs : 0,
+                })),
+            );
+            await fleet.pause(50);
+        }
+        const answers = await Promise.all(calls);
+        const refused = answers.filter(({ kind }) => kind === "refused");
+        expect(answers.length - refused.length).to.be.within(0.8 * 6 * 4, 6 * 4 + 5);
+        expect(Math.max(...refused.map(({ ms }) => ms))).to.be.below(200);
+        expect(Math.min(...refused.map(({ retryAfterMs }) => retryAfterMs))).to.be.greaterThan(0);
+    });
+
+    it("reach all hosts soon after one of them got the response", async function() {
+        this.timeout(20_000);
+        let perSecond = 5;
+        fleet = await startFleet(clock, {
+            hosts: 5,
+            targets: [targetFixture("limited", plainService)],
+            behaviour: () => ({ ms: 2, rateLimit: { kind: "limit", perSecond } }),
+        });
+        await fleet.pause(1000);
+        const limits = (): readonly unknown[] =>
+            fleet.hosts.map(({ permits }) => permits.describe(targetFixture("limited", plainService)).limitPerSecond);
+        await fleet.call(1);
+        await fleet.pause(100);
+        expect(limits()).to.deep.equal([5, 5, 5, 5, 5]);
+        perSecond = 2;
+        await fleet.pause(500);
+        await fleet.call(2);
+        await fleet.pause(100);
+        expect(limits()).to.deep.equal([2, 2, 2, 2, 2]);
+    });
 });
--- a/packages/rollout/src/lib/repeatUntil.test.ts
+++ b/packages/rollout/src/lib/repeatUntil.test.ts
@@ -15,6 +15,7 @@
 import { type ConductorTask } from "./ConductorTask.js";
 import { HostView } from "./HostView.js";
 import { type Journal, noopJournal } from "./Journal.js";
+import { permitsFixture } from "./permitsFixtures.test.js";
 import { repeatUntil } from "./repeatUntil.js";
 import { defaultRolloutSettings } from "./RolloutSettings.js";
 import { ViewTask } from "./ViewTask.js";
@@ -72,7 +73,16 @@
             hasCallers: true,
         };
         const view = new HostView(clock, noopJournal);
-        const task = new ViewTask(options, view, conductor, documents, peers, clock, noopJournal);
+        const task = new ViewTask(
+            options,
+            view,
+            conductor,
+            permitsFixture(peers),
+            documents,
+            peers,
+            clock,
+            noopJournal,
+        );
         task.start();
         await sleepUntil(clock, after(clock.now(), 1200));
         task.stop();
--- a/packages/rollout/src/lib/steppingClock.test.ts
+++ b/packages/rollout/src/lib/steppingClock.test.ts
@@ -8,6 +8,13 @@
     runNextTimer(earlyMs: number): boolean;
     /** Advances the time without running timers. */
     pass(ms: number): void;
+    /** Advances the time and runs the timers that are due on the way, each with what follows from it. */
+    advance(ms: number): Promise<void>;
+}
+
+/** Lets promises that are settled already run what waits for them. */
+export async function settle(): Promise<void> {
+    await new Promise(resolve => setImmediate(resolve));
 }
 
 /** Creates a clock that advances by `stepMs` at each read. */
@@ -37,5 +44,20 @@
         pass: ms => {
             time += ms;
         },
+        advance: async ms => {
+            const until = time + ms;
+            await settle();
+            for (;;) {
+                const [next] = [...timers].filter(({ at }) => at <= until).sort((a, b) => a.at - b.at);
+                if (next === undefined) {
+                    break;
+                }
+                timers.delete(next);
+                time = Math.max(time, next.at);
+                next.run();
+                await settle();
+            }
+            time = Math.max(time, until);
+        },
     };
 }
