--- a/packages/rollout/src/lib/CallForwarder.ts
+++ b/packages/rollout/src/lib/CallForwarder.ts
@@ -70,6 +70,9 @@
  */
 const maxPermitWaitShare = 0.5;
 
+/** Milliseconds between retries while no target can be reached. The time doubles with each attempt up to the limit. */
+const unreachableRetryDelayMs = { first: 20, max: 160 } as const;
+
 /** Refusals by targets after which the caller gets a refusal with a retry time. */
 const maxRefusals = 6;
 
@@ -255,6 +258,7 @@
     private readonly cancel = new AbortController();
     private settle: (answer: CallAnswer) => void = () => undefined;
     private refusalCount = 0;
+    private unreachableCount = 0;
     private bestAnswer: CallAnswer | undefined;
     private lastDetail = "No target has answered.";
     private hasForwardedHead = false;
@@ -368,6 +372,7 @@
         }
         const isRefusal = end.kind === "not-run" && end.reached;
         this.refusalCount += isRefusal ? 1 : 0;
+        this.unreachableCount += end.kind === "not-run" && !end.reached ? 1 : 0;
         this.applyStep(this.attempts.recordEnd({ kind: end.kind }), isRefusal);
     }
 
@@ -394,11 +399,23 @@
                 this.cancel.signal,
             );
         }
+        if (!wasRefused) {
+            await this.pauseWhileUnreachable();
+        }
         if (!this.cancel.signal.aborted && msUntil(this.attempts.deadline, this.forwarder.now()) > 0) {
             await this.next();
         }
     }
 
+    /** Pauses once as many attempts as there are targets could not reach one; the first attempt at each follows at once. */
+    private async pauseWhileUnreachable(): Promise<void> {
+        const excess = this.unreachableCount - this.forwarder.targetsOf(this.service).length;
+        if (excess >= 0) {
+            const delayMs = Math.min(unreachableRetryDelayMs.max, unreachableRetryDelayMs.first * 2 ** excess);
+            await this.forwarder.pauseUntil(after(this.forwarder.now(), delayMs), this.cancel.signal);
+        }
+    }
+
     private trackHead(handler: StreamHandler): StreamHandler {
         return {
             onHead: head => {
