--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -5,6 +5,7 @@
     asId,
     type Clock,
     type ConfigRevision,
+    type ForwardedCall,
     type ForwardOutcome,
     type GroupId,
     type HostId,
@@ -66,6 +67,9 @@
     readonly path: "send" | "run" | "order" | "report";
     readonly host: HostId;
     readonly id: string;
+    /** The forwarded call, on the path "send". */
+    readonly call: ForwardedCall | undefined;
+    readonly entry: TargetEntryView;
     readonly at: Instant;
 }
 
@@ -85,7 +89,8 @@
 
 export interface FleetOptions {
     readonly hosts: number;
-    readonly targets: readonly TargetEntryView[];
+    /** The targets, each time that they are listed. */
+    readonly targets: readonly TargetEntryView[] | (() => readonly TargetEntryView[]);
     /** The newest version of the model; the engines report 1. */
     readonly version?: number;
     readonly behaviour: (target: TargetId, arrival: Arrival) => TargetBehaviour;
@@ -226,10 +231,11 @@
         entry: TargetEntryView,
         path: Arrival["path"],
         id: string,
+        call?: ForwardedCall,
     ): Promise<TargetBehaviour> => {
         const sentAt = clock.now();
         await pause(1);
-        const arrival = { target: entry.target, path, host, id, at: clock.now() };
+        const arrival = { target: entry.target, path, host, id, call, entry, at: clock.now() };
         arrivals.push(arrival);
         const does = behaviour(entry.target, arrival);
         await pause(does.ms / 2);
@@ -237,8 +243,19 @@
         await pause(does.ms / 2);
         return does;
     };
-    const untilAborted = (signal: AbortSignal): Promise<{ readonly kind: "cancelled"; }> =>
-        new Promise(resolve => signal.addEventListener("abort", () => resolve({ kind: "cancelled" })));
+    /** The outcome of `run`, or "cancelled" once `signal` is aborted. */
+    const unlessAborted = <Outcome>(
+        run: Promise<Outcome>,
+        signal: AbortSignal,
+    ): Promise<Outcome | { readonly kind: "cancelled"; }> =>
+        new Promise(resolve => {
+            const onAbort = (): void => resolve({ kind: "cancelled" });
+            signal.addEventListener("abort", onAbort);
+            void run.then(outcome => {
+                signal.removeEventListener("abort", onAbort);
+                resolve(outcome);
+            });
+        });
     const answered: ForwardOutcome = {
         kind: "answered",
         head: { status: 200, signature: "s", headers: [] },
@@ -283,7 +300,7 @@
                         await pause(waitMs / 4);
                         return Right(operator);
                     },
-                    readTargets: async () => Right(targets),
+                    readTargets: async () => Right(typeof targets === "function" ? targets() : targets),
                     confirmRetired: async () => Right(undefined),
                 },
                 engines: {
@@ -293,7 +310,7 @@
                             onEvent({ id: 1, data: "text" }, 1 as WeightVersion);
                             return outcome ?? { kind: "completed" };
                         };
-                        return Promise.race([run(), untilAborted(signal)]);
+                        return unlessAborted(run(), signal);
                     },
                     order: async entry => {
                         await reach(self, entry, "order", "order");
@@ -307,10 +324,10 @@
                     closeUnlisted: () => undefined,
                 },
                 targets: {
-                    send: async (entry, { id }, unused, signal) => {
+                    send: async (entry, call, unused, signal) => {
                         const send = async (): Promise<ForwardOutcome> =>
-                            (await reach(self, entry, "send", id)).call ?? answered;
-                        return Promise.race([send(), untilAborted(signal)]);
+                            (await reach(self, entry, "send", call.id, call)).call ?? answered;
+                        return unlessAborted(send(), signal);
                     },
                 },
                 peers: createPeers(self),
