--- a/packages/rollout/src/index.ts
+++ b/packages/rollout/src/index.ts
@@ -1,5 +1,6 @@
 /** The tasks of a host: store and run jobs, forward calls, and coordinate weight versions through a shared store. */
 
+export { type CallAnswer } from "./lib/CallAnswer.js";
 export * from "./lib/CallForwarder.js";
 export * from "./lib/Journal.js";
 export * from "./lib/journalEvents.js";
--- a/packages/rollout/src/lib/CallForwarder.test.ts
+++ b/packages/rollout/src/lib/CallForwarder.test.ts
@@ -28,4 +28,18 @@
         expect(fleet.arrivals[1]!.at - startedAt).to.be.below(50);
         expect(fleet.arrivals.length).to.be.within(6, 14);
     });
+
+    it("sends nothing for a caller that left while its request was checked", async function() {
+        this.timeout(10_000);
+        fleet = await startFleet(clock, {
+            hosts: 1,
+            targets: [targetFixture("a", plainService)],
+            behaviour: () => ({ ms: 5, rateLimit: { kind: "none" } }),
+        });
+        const left = new AbortController();
+        const answer = fleet.call(0, { callerGone: left.signal });
+        left.abort();
+        expect((await answer).kind).to.equal("left");
+        expect(fleet.arrivals).to.deep.equal([]);
+    });
 });
--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -35,7 +35,7 @@
     type ZoneId,
 } from "@tamarackpath/core";
 import { type Either, Left, Right } from "purify-ts";
-import { type CallAnswer } from "./CallForwarder.js";
+import { type CallAnswer } from "./CallAnswer.js";
 import { type Journal, type JournalValue, noopJournal } from "./Journal.js";
 import { MemoryTransactionalStore } from "./MemoryStore.test.js";
 import { RolloutHost } from "./RolloutHost.js";
@@ -117,6 +117,7 @@
     readonly caller?: string;
     readonly kind?: RouteKind;
     readonly timeoutMs?: number;
+    readonly callerGone?: AbortSignal;
 }
 
 export const plainService = asId<ServiceId>("plain");
@@ -357,7 +358,10 @@
         conductor,
         pause,
         setCut: (host, isCut) => void (isCut ? cut.add(ids[host]!) : cut.delete(ids[host]!)),
-        call: (host, { path, body = "", headers = [], caller = "c", kind = "idempotent", timeoutMs = 1500 } = {}) => {
+        call: (
+            host,
+            { path, body = "", headers = [], caller = "c", kind = "idempotent", timeoutMs = 1500, callerGone } = {},
+        ) => {
             const fullPath = path ?? callPrefixes[kind as keyof typeof callPrefixes];
             const { routes: table } = hosts[host]!.view;
             const call = {
@@ -373,8 +377,8 @@
                 ? { onHead: () => undefined, onChunk: async () => undefined }
                 : undefined;
             const deadline = after(clock.now(), timeoutMs);
-            const never = new AbortController().signal;
-            return hosts[host]!.forwarder.forward(table!.find("h", fullPath)!, call, deadline, handler, never);
+            const gone = callerGone ?? new AbortController().signal;
+            return hosts[host]!.forwarder.forward(table!.find("h", fullPath)!, call, deadline, handler, gone);
         },
         submit: async job => (await hosts[0]!.jobCalls.submit(job, after(clock.now(), 2000))).outcome,
         stop: () => hosts.forEach(host => host.stop()),
