--- a/packages/core/src/lib/limits/RequestPacer.ts
+++ b/packages/core/src/lib/limits/RequestPacer.ts
@@ -28,7 +28,7 @@
     /** How long a full bucket lasts beyond one request. */
     burstMs: number;
     fullAt: Instant;
-    /** When the last refused request was told to return. */
+    /** When the last refused request may be sent again. */
     promisedAt: Instant;
     flows: Map<string, Flow>;
     flowsEndAt: Instant;
@@ -49,7 +49,7 @@
 /** Maximum number of flows that are counted at one target. */
 const maxFlows = 64;
 
-/** Upper limit of the time after which a refused request is told to return. */
+/** Upper limit of the time after which a refused request may be sent again. */
 const maxRetryDelayMs = 5000;
 
 /** Paces the requests to a set of targets. */
--- a/packages/rollout/src/lib/RequestPermits.test.ts
+++ b/packages/rollout/src/lib/RequestPermits.test.ts
@@ -1,5 +1,5 @@
 /**
- * Model test of request permits: hosts that are cut off, restarted or told late, conductors that change, responses that
+ * Model test of request permits: hosts that are cut off, restarted or updated late, conductors that change, responses that
  * are lost, and targets that restart with another limit.
  */
 
--- a/packages/rollout/src/lib/RequestPermits.ts
+++ b/packages/rollout/src/lib/RequestPermits.ts
@@ -59,7 +59,7 @@
 /** Milliseconds without a response after which one request is sent to see whether the target still states its limit. */
 const unconfirmedLimitMs = 10_000;
 
-/** Assumed number of hosts before a conductor has told it. */
+/** Assumed number of hosts before the first answer of a conductor. */
 const defaultHostCount = 32;
 
 /**
