--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,114 +1,95 @@
-/** An ended batch submission is sent again after the conductor's process was killed and restarted. */
+/** A route moves to another service while the conductor's process is killed and restarted. */
 
 import { areReady, call, createDeployment, exitStatus, main, now, sleep, waitFor } from "../standins/lib.mjs";
 
 const host = "ficu95.example";
-const cancelMs = 3000;
-const stableMs = 3000;
+/** `config_apply_ms` and `stretch_ms`: an unstable core stretches the bound by that much at most. */
+const applyMs = 2000 + 5000;
+const rounds = 8;
 
-const config = {
-    version: 3,
+const configOf = (version, service) => ({
+    version,
     routes: [{
-        name: "r-lots",
+        name: "r-status",
         host,
-        prefix: "/pufi791/",
-        kind: "rollout",
-        timeout_ms: 10_000,
-        target_latency_ms: 500,
-        priority: 1,
-        service: "quote-llm",
-        max_attempts: 3,
-        queue_ttl_s: 40,
-        run_target_ms: 7500,
-        single_version: false,
-        sticky: true,
-        resumable: true,
-    }],
-    services: [{
-        name: "quote-llm",
-        health_path: "/healthz",
-        max_connections: 160,
-        engine: { slots: 12, kv_tokens: 80_521, models: [{ name: "m0" }] },
+        prefix: "/lohu930/",
+        kind: "idempotent",
+        timeout_ms: 1500,
+        target_latency_ms: 183,
+        priority: 2,
+        service,
+        max_attempts: 2,
     }],
+    services: ["huvo11a", "wuno96b"].map(name => ({ name, health_path: "/healthz", max_connections: 110 })),
     limits: { max_header_bytes: 16_384, max_body_bytes: 33_554_432, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
-};
-
-const batchId = "7c41e09b52d6a3f8";
-const items = Array.from({ length: 48 }, (unused, nth) => ({
-    id: `e5b2907c14da6f${String(nth).padStart(2, "0")}`,
-    path: `/pufi791/3/${nth}`,
-    headers: {
-        "Tamarackpath-Model": "m0",
-        "Tamarackpath-Token-Usage": "1016,400",
-        "Tamarackpath-Prompt-Prefix": `9c2e41:1000,5d07${String(nth).padStart(2, "0")}:16`,
-    },
-    body: Buffer.from(`item ${nth}`).toString("base64"),
-    tokens: 1416,
-    group: `g${Math.floor(nth / 4)}`,
-}));
-const batch = JSON.stringify({ step: 0, model: "m0", min_version: 1, target_groups: 11, items });
+});
 
 await main(async hasTrouble => {
-    const runs = [];
     const d = await createDeployment({
         folder: import.meta.dirname,
         machines: [
             { name: "storage-leon-1", role: "storage", zone: "leon" },
             { name: "edge-leon-1", role: "entry", zone: "leon" },
             { name: "edge-qro-1", role: "entry", zone: "qro" },
+            { name: "edge-celaya-1", role: "entry", zone: "celaya" },
         ],
-        config,
-        workers: [
-            { id: "i-01", service: "quote-llm", zone: "leon", model: "m0" },
-            { id: "i-02", service: "quote-llm", zone: "qro", model: "m0" },
-        ],
-        onRun: run => {
-            runs.push(run);
-            d.record(`worker ${run.worker.id} runs item ${run.id}`);
-        },
+        config: configOf(3, "huvo11a"),
+        workers: ["leon", "qro"].flatMap(zone => [
+            { id: `i-a-${zone}`, service: "huvo11a", zone, slots: 6 },
+            { id: `i-b-${zone}`, service: "wuno96b", zone, slots: 6 },
+        ]),
     });
-    const { record } = d;
-    const submit = async edge => {
-        const res = await call(edge.front, "POST", "/pufi791/7c41e0", {
+    const { record, store } = d;
+    const [storage, ...edges] = d.hosts;
+    let lastId = 0;
+    /** Sends a request to an edge, and returns the service that ran it. */
+    const ask = async edge => {
+        const id = `9c41d07be2a3${String(++lastId).padStart(4, "0")}`;
+        const res = await call(edge.front, "POST", "/lohu930/2f", {
             host,
-            "tamarackpath-request-id": batchId,
-            "content-type": "application/json",
-        }, batch);
-        record(`${edge.name} answers the submission of ${batchId} with ${res.status}`);
-        return res.status;
+            "tamarackpath-request-id": id,
+            "tamarackpath-deadline-ms": "1500",
+        }, "x");
+        const service = /^answer of (\S+)/.exec(res.body ?? "")?.[1];
+        record(`${edge.name} answers ${id} with ${res.status}, run by ${service ?? "none"}`);
+        return service;
     };
-    const [storage, leon, qro] = d.hosts;
     try {
         if (!await waitFor(() => areReady(d.hosts), 15_000)) {
             return exitStatus.notRun;
         }
-        await sleep(2500);
-        if (await submit(leon) !== 202) {
-            return exitStatus.notRun;
-        }
-        await sleep(600);
-        const ended = await call(qro.front, "DELETE", `/tamarackpath/lots/${batchId}`, { host });
-        const ackAt = now();
-        record(`${qro.name} answers the end of ${batchId} with ${ended.status}`);
-        if (ended.status !== 200) {
-            return exitStatus.notRun;
-        }
-        if (hasTrouble) {
-            await storage.killAndRestart(500);
-        }
-        else {
-            await sleep(500);
-        }
-        // All machines are in touch again, and the store's machines have been without trouble for longer than that.
-        await sleep(stableMs + 1500);
-        const again = await waitFor(async () => await submit(qro) === 202, 3000, 400);
-        if (!again) {
-            return exitStatus.notRun;
-        }
         await sleep(3000);
-        const late = runs.filter(({ at }) => at > ackAt + cancelMs);
-        record(`${late.length} items reached a worker later than ${cancelMs} ms after the acknowledged end`);
-        return late.length > 0 ? exitStatus.broken : exitStatus.held;
+        let broken = 0;
+        for (let round = 0; round < rounds; round++) {
+            const service = round % 2 === 0 ? "wuno96b" : "huvo11a";
+            const version = 5 + 2 * round;
+            const change = () => {
+                store.write("op/config", configOf(version, service));
+                record(`the store acknowledged configuration ${version}: the route leads to ${service}`);
+                return now();
+            };
+            let ackAt;
+            if (hasTrouble) {
+                storage.signal("SIGKILL");
+                await storage.hasEnded;
+                ackAt = change();
+                await sleep(300);
+                storage.start();
+            }
+            else {
+                ackAt = change();
+            }
+            await sleep(ackAt + applyMs + 1000 - now());
+            for (const edge of edges) {
+                const served = await ask(edge);
+                if (served !== undefined && served !== service) {
+                    broken++;
+                    record(`${edge.name} used an older configuration ${now() - ackAt} ms after the ack`);
+                }
+            }
+        }
+        record(`${broken} requests were handled as only an older configuration allows`);
+        return broken > 0 ? exitStatus.broken : exitStatus.held;
     }
     finally {
         await d.stop();
