--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -14,7 +14,8 @@
 const stepDeadlineMs = 12_000;
 const freezeMs = 3300;
 const restartDelayMs = 500;
-const rounds = 5;
+/** Time after the wake-up in which the woken process reads the open jobs, if it takes its claim for made. */
+const firstReadMs = 900;
 
 const config = {
     version: 3,
@@ -91,7 +92,11 @@
     let wokenAt;
     let hasClaimedAgain = false;
     let isWatching = false;
+    /** Whether the woken process took its claim for made. */
+    let hasBegunTerm = false;
     store.intercept = async storeCall => {
+        hasBegunTerm ||= wokenAt !== undefined && storeCall.machine === frozen?.name
+            && storeCall.path === "/tamarackpath/kv-range" && storeCall.query.get("prefix") === "tamarack/live/";
         const claimant = isWatching ? claimantOf(storeCall) : undefined;
         if (claimant !== undefined) {
             record(`${claimant.name} claims to conduct`);
@@ -100,7 +105,7 @@
             }
             else if (frozen === undefined) {
                 frozen = claimant;
-                frozen.signal("SIGSTOP");
+                claimant.signal("SIGSTOP");
                 setTimeout(() => {
                     claimant.signal("SIGCONT");
                     wokenAt = now();
@@ -124,6 +129,7 @@
     };
     const playRound = async round => {
         wokenAt = undefined;
+        hasBegunTerm = false;
         if (hasTrouble && !await disturb()) {
             return exitStatus.notRun;
         }
@@ -139,6 +145,13 @@
         if (submitted.status !== 202) {
             return exitStatus.notRun;
         }
+        if (hasTrouble) {
+            await waitFor(() => wokenAt !== undefined, freezeMs);
+            if (!await waitFor(() => hasBegunTerm, firstReadMs)) {
+                record("the woken process saw its call's time-out before the answer; the round is vain");
+                return exitStatus.held;
+            }
+        }
         await sleep(submittedAt + stepDeadlineMs - now());
         const read = await call(edge.front, "GET", `/tamarackpath/lots/${id}?after=0`, { host });
         record(`${edge.name} answers a read at the step's deadline with ${read.status} ${read.body.slice(0, 40)}`);
@@ -163,7 +176,7 @@
             return exitStatus.notRun;
         }
         await sleep(2500);
-        // The woken process may see its call's time-out before the answer; then it makes no claim, and the round is vain.
+        const rounds = hasTrouble ? 14 : 3;
         const results = [];
         while (results.length < rounds && !results.includes(exitStatus.broken)) {
             results.push(await playRound(results.length));
