Let no outdated claim stop the conductor, and begin no term after its lease

A host that was paused between the write of its claim and the answer began a term whose lease had passed, and asked its predecessor to yield. The predecessor, which held a later claim by then, stopped its work and kept the claim.

Cause: the sender did not compare the lease's deadline with the time, and RolloutHost.yieldTo stopped the work without comparing fencing tokens, which ConductorTask.yieldTo did for the claim. Claim and work were changed in two places.

Now a claim whose answer outlasts its lease begins no term, a request to yield under an older token is refused, and the work ends with the event that another host conducts. Pulled views and answers about the conductor carry the token too. Each end of a term writes one line with both tokens and the time left of the lease.

--- a/packages/core/src/lib/conduct/ConductorTerm.ts
+++ b/packages/core/src/lib/conduct/ConductorTerm.ts
@@ -32,6 +32,11 @@
         return this.orderedAt;
     }
 
+    /** Until when the lease is certain to be valid, or was, once the term has ended. */
+    get validUntilAt(): Instant {
+        return this.validUntil;
+    }
+
     /** Begins a term under `claim`. Orders may be sent from `ordersNotBefore` until shortly before `validUntil`. */
     begin(claim: ConductorClaim, validUntil: Instant, ordersNotBefore: Instant): void {
         this.claim = claim;
--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -12,6 +12,7 @@
     type HostId,
     type Incarnation,
     type JobId,
+    type KeyRevision,
     type ServiceId,
     type StepId,
     type TargetId,
@@ -161,6 +162,8 @@
 
 /** The conductor's view of the platform's documents, as it is sent to the other hosts. */
 export interface ConductorView {
+    /** Fencing token of the conductor's claim; undefined at a host that does not tell, or that holds no claim. */
+    readonly fence?: KeyRevision;
     /** Incremented with each change at this conductor. */
     readonly number: number;
     /** Milliseconds since the conductor read it from the store; undefined before the first read. */
@@ -332,13 +335,20 @@
     "standby-keep": { readonly ask: StandbyUpdate; readonly answer: Record<string, never>; };
     /** Sends the state that a standby keeps to a new conductor. */
     "standby-work": { readonly ask: UnstoredWork; readonly answer: Record<string, never>; };
-    /** Returns the host that the receiver regards as the conductor. */
+    /** Returns the host that the receiver regards as the conductor, with the fencing token of its claim if it is known. */
     "conductor-ask": {
         readonly ask: Record<string, never>;
-        readonly answer: { readonly conductor: HostId | undefined; readonly zone: ZoneId; };
+        readonly answer: {
+            readonly conductor: HostId | undefined;
+            readonly fence?: KeyRevision;
+            readonly zone: ZoneId;
+        };
     };
-    /** Notifies the former conductor that the sender has claimed its role, and returns the former conductor's state. */
-    "conductor-yield": { readonly ask: { readonly fence: number; }; readonly answer: ConductorHandover; };
+    /**
+     * Notifies the former conductor that the sender has claimed its role under the fencing token `fence`, and returns the
+     * former conductor's state. The answer is a problem when the receiver knows of a later claim.
+     */
+    "conductor-yield": { readonly ask: { readonly fence: KeyRevision; }; readonly answer: ConductorHandover; };
     "job-submit": {
         readonly ask: { readonly job: Job; readonly deadlineMs: number; };
         readonly answer: JobAcceptance;
--- a/packages/rollout/src/lib/ConductorTask.test.ts
+++ b/packages/rollout/src/lib/ConductorTask.test.ts
@@ -8,6 +8,7 @@
     asId,
     type HostId,
     jobKeys,
+    type KeyRevision,
     type KeyValueFailure,
     type LeaseId,
     type StoredItem,
@@ -15,12 +16,14 @@
     type TransactionalStore,
 } from "@tamarackpath/core";
 import { expect } from "chai";
-import { pack } from "msgpackr";
+import { pack, unpack } from "msgpackr";
 import { type Either, Left, Right } from "purify-ts";
 import { ConductorTask } from "./ConductorTask.js";
 import { noopJournal } from "./Journal.js";
+import { LeaseStore } from "./LeaseStore.test.js";
 import { MemoryTransactionalStore } from "./MemoryStore.test.js";
 import { defaultRolloutSettings } from "./RolloutSettings.js";
+import { createSteppingClock, type SteppingClock } from "./steppingClock.test.js";
 
 const clock = createMonotonicClock();
 const self = asId<HostId>("self");
@@ -90,7 +93,131 @@
     return new Promise(resolve => setTimeout(resolve, ms));
 }
 
+interface PausedFixture {
+    readonly clock: SteppingClock;
+    readonly store: LeaseStore;
+    /** Predecessors that were asked to yield. */
+    readonly yieldRequests: HostId[];
+    readonly setCanClaim: (canClaim: boolean) => void;
+    readonly createTask: (host: HostId) => { readonly task: ConductorTask; readonly claimed: () => boolean; };
+}
+
+/** Milliseconds that the lease of a claim lasts in the tests of paused hosts. */
+const leaseMs = 1500;
+
+/** Hosts that share a store, with a handed-in clock. A predecessor takes `handoverMs` to answer. */
+function pausedFixture(handoverMs = 0): PausedFixture {
+    const stepping = createSteppingClock(0);
+    const store = new LeaseStore(stepping, leaseMs);
+    const yieldRequests: HostId[] = [];
+    let canClaim = true;
+    return {
+        clock: stepping,
+        store,
+        yieldRequests,
+        setCanClaim: value => canClaim = value,
+        createTask: host => {
+            const takeOver = async (predecessor: HostId): Promise<undefined> => {
+                yieldRequests.push(predecessor);
+                stepping.pass(handoverMs);
+            };
+            const options = {
+                self: host,
+                settings: defaultRolloutSettings,
+                claimDelayMs: () => 0,
+                canClaim: () => canClaim,
+                takeOver,
+            };
+            const task = new ConductorTask(options, store, stepping, noopJournal);
+            let isClaimed = false;
+            task.events.on("claimed", () => {
+                isClaimed = true;
+            });
+            return { task, claimed: () => isClaimed };
+        },
+    };
+}
+
 describe("ConductorTask", () => {
+    // Guards against a paused host that stops the valid conductor by a claim whose lease has passed.
+    it("begins no term when the answer to its claim arrives after the lease, and stops no successor", async () => {
+        const { clock: stepping, store, yieldRequests, createTask } = pausedFixture();
+        const [paused, successor] = [createTask(self), createTask(other)];
+        paused.task.adoptReportedConductor(other);
+        store.claimAnswerDelaysMs.push(3300);
+        const lookup = paused.task.lookUpClaim();
+        await stepping.advance(leaseMs + 100);
+        const claim = successor.task.lookUpClaim();
+        await stepping.advance(leaseMs);
+        await claim;
+        expect(successor.task.isSure).to.equal(true);
+        const requestsBefore = yieldRequests.length;
+        await stepping.advance(3300);
+        await lookup;
+        expect([paused.task.isConductor, paused.claimed()]).to.deep.equal([false, false]);
+        expect(yieldRequests.length).to.equal(requestsBefore);
+        expect(successor.task.isSure).to.equal(true);
+    });
+
+    it("begins no work when it was paused beyond its lease after it began its term", async () => {
+        const { clock: stepping, createTask } = pausedFixture(leaseMs + 1);
+        const { task, claimed } = createTask(self);
+        task.adoptReportedConductor(other);
+        stepping.pass(leaseMs);
+        const lookup = task.lookUpClaim();
+        await stepping.advance(10);
+        await lookup;
+        expect([task.isConductor, claimed()]).to.deep.equal([false, false]);
+    });
+
+    it("gives a claim up at once when the host began to stop while the claim was on its way", async () => {
+        const { clock: stepping, store, setCanClaim, createTask } = pausedFixture();
+        const { task, claimed } = createTask(self);
+        store.claimAnswerDelaysMs.push(200);
+        const lookup = task.lookUpClaim();
+        await stepping.advance(100);
+        setCanClaim(false);
+        await task.resign();
+        await stepping.advance(200);
+        await lookup;
+        expect([task.isConductor, claimed()]).to.deep.equal([false, false]);
+        const item = (await store.get(jobKeys.claim)).unsafeCoerce()!;
+        expect(unpack(item.value)).to.have.property("resigned");
+    });
+
+    it("yields to a later claim only, and follows its holder", async () => {
+        const { clock: stepping, createTask } = pausedFixture();
+        const { task } = createTask(self);
+        const lookup = task.lookUpClaim();
+        await stepping.advance(200);
+        await lookup;
+        const { fence } = task.term.currentClaim!;
+        expect(task.yieldTo(other, fence - 1 as KeyRevision)).to.equal(false);
+        expect([task.isSure, task.conductor]).to.deep.equal([true, self]);
+        expect(task.yieldTo(other, fence + 1 as KeyRevision)).to.equal(true);
+        expect([task.isConductor, task.conductor]).to.deep.equal([false, other]);
+        expect(task.yieldTo(asId<HostId>("third"), fence as KeyRevision)).to.equal(false);
+        expect(task.conductor).to.equal(other);
+    });
+
+    it("ignores states of the claim's key, and reports of conductors, from before its own claim", async () => {
+        const { clock: stepping, store, createTask } = pausedFixture();
+        const before = await putClaim(store, other);
+        await store.commit({ expected: [], puts: [], removes: [jobKeys.claim] });
+        const { task } = createTask(self);
+        const lookup = task.lookUpClaim();
+        await stepping.advance(200);
+        await lookup;
+        task.applyClaimChange(before, before.revision);
+        task.applyClaimChange(undefined, before.revision);
+        expect(task.isConductor).to.equal(true);
+        stepping.pass(leaseMs);
+        task.adoptReportedSuccessor(other, before.revision);
+        expect(task.isConductor).to.equal(true);
+        task.adoptReportedSuccessor(other, task.term.currentClaim!.fence + 1 as KeyRevision);
+        expect([task.isConductor, task.conductor]).to.deep.equal([false, other]);
+    });
+
     it("does not report itself once its claim may have lapsed", async () => {
         const { task } = conductorFixture(80);
         await task.lookUpClaim();
@@ -122,7 +249,8 @@
         const { store, task } = conductorFixture();
         await task.lookUpClaim();
         const own = (await store.get(jobKeys.claim, "conductor")).unsafeCoerce()!;
-        task.applyClaimChange(await putClaim(store, other, own.revision));
+        const item = await putClaim(store, other, own.revision);
+        task.applyClaimChange(item, item.revision);
         expect(task.isConductor).to.equal(false);
         expect(task.conductor).to.equal(other);
     });
@@ -130,10 +258,10 @@
     it("yields to a successor that others report only once its own claim may have lapsed", async () => {
         const { task } = conductorFixture(80);
         await task.lookUpClaim();
-        task.adoptReportedSuccessor(other);
+        task.adoptReportedSuccessor(other, undefined);
         expect(task.conductor).to.equal(self);
         await passMs(100);
-        task.adoptReportedSuccessor(other);
+        task.adoptReportedSuccessor(other, undefined);
         expect(task.conductor).to.equal(other);
         expect(task.isConductor).to.equal(false);
     });
--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -46,10 +46,10 @@
     /** False while the host stops or is being retired. */
     readonly canClaim: () => boolean;
     /**
-     * Takes over the previous conductor's work. Returns the age of its last order in milliseconds, or undefined when it
-     * does not answer.
+     * Takes over the previous conductor's work. The request must be sent before `deadline`, when this host's lease may
+     * end. Returns the age of the predecessor's last order in milliseconds, or undefined when it does not answer.
      */
-    readonly takeOver: (predecessor: HostId, fence: number) => Promise<number | undefined>;
+    readonly takeOver: (predecessor: HostId, fence: KeyRevision, deadline: Instant) => Promise<number | undefined>;
 }
 
 /** Milliseconds between lookups of the claim while there is no conductor to follow. */
@@ -79,6 +79,8 @@
     private predecessor: HostId | undefined;
     /** When the store last answered a lookup of the claim. */
     private lastStoreAnswerAt = -Infinity as Instant;
+    /** The highest fencing token of a claim that this host has held or heard of. */
+    private latestFence = 0 as KeyRevision;
     private isRenewing = false;
     private openRenewals = 0;
     private stopped = false;
@@ -118,6 +120,7 @@
             return false;
         }
         this.lastStoreAnswerAt = this.clock.now();
+        this.recordFence(item?.revision);
         const record = item === undefined ? undefined : decodeClaim(item);
         if (record !== undefined && record.resigned === undefined && record.host !== this.options.self) {
             this.setConductor(record.host);
@@ -141,19 +144,31 @@
         }
     }
 
-    /** Adopts a successor that other hosts report, while this host's own claim may have lapsed. */
-    adoptReportedSuccessor(host: HostId): void {
-        if (host !== this.options.self && this.isConductor && !this.isSure) {
-            this.endTerm("Other hosts report another conductor.");
+    /**
+     * Adopts a successor that other hosts report, while this host's own claim may have lapsed. `fence` is the successor's
+     * fencing token; hosts of earlier software report none.
+     */
+    adoptReportedSuccessor(host: HostId, fence: KeyRevision | undefined): void {
+        const claim = this.term.currentClaim;
+        const isStale = claim !== undefined && fence !== undefined && fence < claim.fence;
+        if (host !== this.options.self && claim !== undefined && !this.isSure && !isStale) {
+            this.endTerm("Other hosts report another conductor.", fence);
             this.setConductor(host);
         }
     }
 
-    /** Applies a change of the claim's key that a watch or a failed write showed. */
-    applyClaimChange(item: StoredItem | undefined): void {
+    /**
+     * Applies the state of the claim's key at the store's revision `asOf`, as a watch or a failed write showed it. A state
+     * from before this host's claim says nothing about that claim.
+     */
+    applyClaimChange(item: StoredItem | undefined, asOf: KeyRevision): void {
         const claim = this.term.currentClaim;
-        if (claim !== undefined && item?.revision !== claim.fence) {
-            this.endTerm(item === undefined ? "The claim's key was removed." : "Another host holds the claim.");
+        this.recordFence(item?.revision);
+        if (claim !== undefined && asOf >= claim.fence && item?.revision !== claim.fence) {
+            this.endTerm(
+                item === undefined ? "The claim's key was removed." : "Another host holds the claim.",
+                item?.revision,
+            );
             const record = item === undefined ? undefined : decodeClaim(item);
             if (record !== undefined && record.resigned === undefined && record.host !== this.options.self) {
                 this.setConductor(record.host);
@@ -162,18 +177,46 @@
     }
 
     /**
-     * Ends this host's term when another host holds the claim under a later `fence`. Returns the age of this host's
-     * last order in milliseconds, or undefined when it sent none.
+     * Ends this host's term, and with it its work, when `successor` holds the claim under the later fencing token `fence`.
+     * False when this host has held or heard of a later claim: the sender's has lapsed, as when its process was paused.
      */
-    yieldTo(fence: number): number | undefined {
-        const claim = this.term.currentClaim;
-        if (claim !== undefined && claim.fence < fence) {
-            this.endTerm("A successor holds the claim.");
+    yieldTo(successor: HostId, fence: KeyRevision): boolean {
+        if (this.isOutdated(fence) || fence === this.term.currentClaim?.fence) {
+            this.journal.log("yield-refused", {
+                from: successor,
+                fence: this.term.currentClaim?.fence,
+                latestFence: this.latestFence,
+                otherFence: fence,
+                leaseLeftMs: this.leaseLeftMs,
+            });
+            return false;
         }
+        this.endTerm("A successor holds the claim.", fence);
+        this.recordFence(fence);
+        if (this.currentConductor === undefined || this.currentConductor === this.options.self) {
+            this.setConductor(successor);
+        }
+        return true;
+    }
+
+    /** Milliseconds since this host's last order, or undefined when it sent none. */
+    get lastOrderAgeMs(): number | undefined {
         const { lastOrderAt } = this.term;
         return lastOrderAt === undefined ? undefined : this.clock.now() - lastOrderAt;
     }
 
+    /** Records that a claim under `fence` has existed. */
+    recordFence(fence: KeyRevision | undefined): void {
+        if (fence !== undefined && fence > this.latestFence) {
+            this.latestFence = fence;
+        }
+    }
+
+    /** Whether a claim later than the one under `fence` has existed. */
+    isOutdated(fence: KeyRevision): boolean {
+        return fence < this.latestFence;
+    }
+
     /** Ends this host's term and marks the claim as resigned, so that the next host may take it at once. */
     async resign(): Promise<void> {
         this.stopped = true;
@@ -189,6 +232,7 @@
         const lastOrderAt = this.term.lastOrderAt === undefined
             ? undefined
             : Date.now() - (this.clock.now() - this.term.lastOrderAt);
+        const { leaseLeftMs } = this;
         this.term.end();
         const record: ClaimRecord = { host: this.options.self, resigned: { lastOrderAt } };
         const res = await this.store.commit(
@@ -199,7 +243,7 @@
             },
             "conductor",
         );
-        this.journal.log("conductor-resigned", { written: res.isRight() });
+        this.journal.log("conductor-resigned", { fence: claim.fence, leaseLeftMs, written: res.isRight() });
         this.setConductor(undefined);
         await this.events.emit("lost");
     }
@@ -211,7 +255,7 @@
         const { claimTtlMs } = this.options.settings;
         const leased = await this.store.grantLease(claimTtlMs);
         const lease = leased.toMaybe().extract();
-        if (lease === undefined || !this.options.canClaim()) {
+        if (lease === undefined || !this.options.canClaim() || this.clock.now() >= lease.deadline) {
             return;
         }
         const res = await this.store.commit(
@@ -225,9 +269,17 @@
         await res.caseOf<Promise<void>>({
             Left: async () => undefined,
             Right: async result => {
-                if (result.kind === "committed") {
-                    await this.beginTerm({ lease: lease.id, fence: result.revision }, lease.deadline, record);
+                if (result.kind !== "committed") {
+                    return;
                 }
+                const claim = { lease: lease.id, fence: result.revision };
+                this.recordFence(claim.fence);
+                // The answer may have been delayed, or this process paused, until another host holds the claim.
+                if (this.clock.now() >= lease.deadline) {
+                    this.logLoss(claim, "The lease ended before the answer to the claim.", undefined, lease.deadline);
+                    return;
+                }
+                await this.beginTerm(claim, lease.deadline, record);
             },
         });
     }
@@ -247,12 +299,20 @@
             ? 0
             : Math.max(0, resignedAt + orderCalmMs - Date.now());
         this.term.begin(claim, deadline, after(claimedAt, orderDelayMs));
+        if (!this.options.canClaim()) {
+            // The host began to stop while the claim was on its way.
+            await this.stepDown();
+            return;
+        }
         this.journal.log("conductor-claimed", { fence: claim.fence, ordersInMs: orderDelayMs });
         const predecessor = previousClaim?.host ?? this.currentConductor ?? this.predecessor;
         void this.renewLoop();
         if (predecessor !== undefined && predecessor !== this.options.self) {
             await Promise.race([this.takeOver(predecessor, claim), this.pause(takeOverWaitMs)]);
         }
+        if (this.term.currentClaim === claim && !this.isSure) {
+            this.endTerm("The lease ended before the work began.");
+        }
         if (this.term.currentClaim === claim) {
             this.setConductor(this.options.self);
             await this.events.emit("claimed");
@@ -261,7 +321,7 @@
 
     /** Takes over the previous conductor's work; the age of its last order may allow this host to order earlier. */
     private async takeOver(predecessor: HostId, claim: ConductorClaim): Promise<void> {
-        const lastOrderAgeMs = await this.options.takeOver(predecessor, claim.fence);
+        const lastOrderAgeMs = await this.options.takeOver(predecessor, claim.fence, this.term.validUntilAt);
         if (lastOrderAgeMs !== undefined && this.term.currentClaim === claim) {
             const orderDelayMs = Math.max(0, this.options.settings.orderCalmMs - lastOrderAgeMs);
             this.term.setOrdersNotBefore(after(this.clock.now(), orderDelayMs));
@@ -302,16 +362,37 @@
         });
     }
 
-    private endTerm(reason: string): void {
-        if (this.term.currentClaim === undefined) {
+    /** Milliseconds until this host's lease may end; negative when it may have ended already. */
+    private get leaseLeftMs(): number {
+        return this.term.validUntilAt - this.clock.now();
+    }
+
+    private endTerm(reason: string, otherFence?: KeyRevision): void {
+        const claim = this.term.currentClaim;
+        if (claim === undefined) {
             return;
         }
-        this.journal.log("conductor-lost", { fence: this.term.currentClaim.fence, reason });
+        this.logLoss(claim, reason, otherFence, this.term.validUntilAt);
         this.term.end();
         this.setConductor(undefined);
         void this.events.emit("lost");
     }
 
+    /** Logs that `claim` is lost; `otherFence` is the fencing token of the claim that took its place, if it is known. */
+    private logLoss(
+        claim: ConductorClaim,
+        reason: string,
+        otherFence: KeyRevision | undefined,
+        leaseDeadline: Instant,
+    ): void {
+        this.journal.log("conductor-lost", {
+            fence: claim.fence,
+            otherFence,
+            leaseLeftMs: leaseDeadline - this.clock.now(),
+            reason,
+        });
+    }
+
     private setConductor(host: HostId | undefined): void {
         if (host !== this.currentConductor) {
             this.predecessor = this.currentConductor ?? this.predecessor;
--- a/packages/rollout/src/lib/LiveKeyWatch.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.ts
@@ -69,7 +69,7 @@
             return undefined;
         }
         const byKey = new Map(range.items.map(item => [item.key, item]));
-        this.conductor.applyClaimChange(byKey.get(jobKeys.claim));
+        this.conductor.applyClaimChange(byKey.get(jobKeys.claim), range.asOf);
         if (!this.conductor.isConductor) {
             return undefined;
         }
@@ -93,7 +93,7 @@
         }
         for (const { key, item } of seen.changes) {
             if (key === jobKeys.claim) {
-                this.conductor.applyClaimChange(item);
+                this.conductor.applyClaimChange(item, item?.revision ?? seen.asOf);
             }
             else if (key.startsWith(jobKeys.endedPrefix) && item !== undefined) {
                 this.registry.close(jobOf(key, jobKeys.endedPrefix));
--- a/packages/rollout/src/lib/ResultWriter.ts
+++ b/packages/rollout/src/lib/ResultWriter.ts
@@ -23,8 +23,8 @@
     readonly settings: RolloutSettings;
     /** Fencing token of this host's claim, or undefined while it has none. */
     readonly fence: () => KeyRevision | undefined;
-    /** Called with the current item of the claim's key when a write fails because the claim changed. */
-    readonly onClaimChanged: (item: StoredItem | undefined) => void;
+    /** Called with the item of the claim's key when a write under `fence` fails because the claim changed. */
+    readonly onClaimChanged: (item: StoredItem | undefined, fence: KeyRevision) => void;
 }
 
 /** Milliseconds between retries of a write that failed. */
@@ -99,7 +99,7 @@
                     log.markOutOfSync();
                 }
                 if (failure.claim !== undefined) {
-                    this.options.onClaimChanged(failure.claim.item);
+                    this.options.onClaimChanged(failure.claim.item, fence);
                 }
                 this.journal.log("store-write-retried", {
                     job: job.id,
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -10,8 +10,11 @@
     type Job,
     JobScheduler,
     type JobTerms,
+    type KeyRevision,
     type PeerNetwork,
     type PlatformDocuments,
+    type Problem,
+    problem,
     RelayChoice,
     type RelayHost,
     type RolloutEngines,
@@ -21,7 +24,7 @@
     type UnstoredWork,
     type ZoneId,
 } from "@tamarackpath/core";
-import { Right } from "purify-ts";
+import { type Either, Left, Right } from "purify-ts";
 import { CallForwarder } from "./CallForwarder.js";
 import { ConductorTask } from "./ConductorTask.js";
 import { CrashGuard } from "./CrashGuard.js";
@@ -137,7 +140,7 @@
                 settings,
                 claimDelayMs: () =>
                     delay + claimDelayMs.jitter * random() + (this.reach.isCutOff ? claimDelayMs.cutOff : 0),
-                takeOver: (predecessor, fence) => this.takeOver(predecessor, fence),
+                takeOver: (predecessor, fence, deadline) => this.takeOver(predecessor, fence, deadline),
                 canClaim: () => !this.isStopping && !this.view.retiring.includes(identity.name) && !this.isStranded,
             },
             store,
@@ -153,7 +156,7 @@
                 settings,
                 termsOf: job => this.termsOf(job),
                 fence: () => this.conductor.term.currentClaim?.fence,
-                onClaimChanged: item => this.conductor.applyClaimChange(item),
+                onClaimChanged: (item, fence) => this.conductor.applyClaimChange(item, item?.revision ?? fence),
             },
             this.scheduler,
             jobs,
@@ -317,7 +320,7 @@
     }
 
     start(): void {
-        this.ports.peers.handle("conductor-yield", async ({ fence }) => Right(this.yieldTo(fence)));
+        this.ports.peers.handle("conductor-yield", async ({ fence }, from) => this.yieldTo(from, fence));
         this.viewTask.start();
         this.streams.start();
     }
@@ -380,12 +383,13 @@
     /**
      * Requests the unlisted results and unfinished texts of the previous conductor; returns the age of its last order.
      */
-    private async takeOver(predecessor: HostId, fence: number): Promise<number | undefined> {
+    private async takeOver(predecessor: HostId, fence: KeyRevision, deadline: Instant): Promise<number | undefined> {
         const { peers, clock, journal } = this.ports;
         peers.setAddress(predecessor, predecessor);
-        const res = await peers.ask(predecessor, "conductor-yield", { fence }, after(clock.now(), handoverTimeoutMs));
+        const answerBy = Math.min(deadline, after(clock.now(), handoverTimeoutMs)) as Instant;
+        const res = await peers.ask(predecessor, "conductor-yield", { fence }, answerBy);
         const handover = res.toMaybe().chain(answer => answer.toMaybe()).extract();
-        if (handover !== undefined) {
+        if (handover !== undefined && this.conductor.term.currentClaim?.fence === fence) {
             this.adoptWork(handover);
         }
         journal.log("handover-taken", {
@@ -398,16 +402,20 @@
         return handover === undefined ? undefined : handover.lastOrderAgeMs ?? Infinity;
     }
 
-    /** Returns this host's unlisted results and unfinished texts for its successor, and stops its jobs. */
-    private yieldTo(fence: number): ConductorHandover {
-        const lastOrderAgeMs = this.conductor.yieldTo(fence);
+    /**
+     * Returns this host's unlisted results and unfinished texts for its successor, and stops its jobs. A host whose claim
+     * is not the latest gets nothing, and nothing stops for it.
+     */
+    private yieldTo(successor: HostId, fence: KeyRevision): Either<Problem, ConductorHandover> {
+        // The work ends with the event of the new conductor, after the handover has been put together.
+        if (!this.conductor.yieldTo(successor, fence)) {
+            return Left(problem("conflict", "A later claim than this one is known."));
+        }
         const texts = this.scheduler.texts.flatMap(({ task, progress }) => {
             const text = progress.snapshot(0);
             return text === undefined ? [] : [{ task, text }];
         });
-        const handover = { lastOrderAgeMs, results: this.registry.unlisted, texts };
-        this.endConducting();
-        return handover;
+        return Right({ lastOrderAgeMs: this.conductor.lastOrderAgeMs, results: this.registry.unlisted, texts });
     }
 
     /** Adds results and texts that another host kept. */
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -8,7 +8,9 @@
     type Clock,
     type HostId,
     type Instant,
+    type KeyRevision,
     type PeerNetwork,
+    type PeerRequests,
     type PlatformDocuments,
     type RelayHost,
     sleepUntil,
@@ -71,6 +73,9 @@
 /** Milliseconds before a loop tries again after it had no result or nothing to do. */
 const retryDelayMs = 250;
 
+/** Another host's answer about the conductor. */
+type ConductorReport = PeerRequests["conductor-ask"]["answer"];
+
 /** Runs the loops of a host's view. */
 export class ViewTask {
     private stopped = false;
@@ -82,6 +87,7 @@
     /** The conductor from which a view was last pulled, and the revision of that view. */
     private lastPulledView: {
         readonly host: HostId;
+        readonly fence: KeyRevision | undefined;
         readonly number: number;
         readonly limits: number;
         readonly crashes: number;
@@ -105,6 +111,7 @@
             const { revision, ageMs, operator } = view;
             const content = revision === have ? undefined : { operator, targets: view.directory.targets };
             return Right({
+                fence: conductor.term.currentClaim?.fence,
                 number: revision,
                 ageMs: conductor.isSure ? ageMs : undefined,
                 readAgeMs: view.readAgeMs,
@@ -122,7 +129,11 @@
         peers.handle("conductor-ask", async () => {
             const { zone } = options;
             const isKnown = conductor.isConductor || this.hasConductorAnswered;
-            return Right({ conductor: isKnown ? conductor.confirmedConductor : undefined, zone });
+            return Right({
+                conductor: isKnown ? conductor.confirmedConductor : undefined,
+                fence: conductor.term.currentClaim?.fence ?? this.lastPulledView?.fence,
+                zone,
+            });
         });
     }
 
@@ -259,8 +270,15 @@
         if (shared?.ageMs === undefined) {
             return false;
         }
+        if (shared.fence !== undefined) {
+            if (this.conductor.isOutdated(shared.fence)) {
+                return false;
+            }
+            this.conductor.recordFence(shared.fence);
+        }
         this.lastPulledView = {
             host,
+            fence: shared.fence,
             number: shared.number,
             limits: shared.limits?.number ?? -1,
             crashes: shared.crashes?.number ?? -1,
@@ -292,15 +310,13 @@
             ...recentFollowers.slice(0, maxAskedFollowers),
             ...this.options.seeds,
         ]);
-        const successor = answers.find(({ conductor }) => conductor !== undefined)?.conductor;
-        if (successor !== undefined) {
-            this.conductor.adoptReportedSuccessor(successor);
+        const successor = latestClaim(answers);
+        if (successor?.conductor !== undefined) {
+            this.conductor.adoptReportedSuccessor(successor.conductor, successor.fence);
         }
     }
 
-    private async requestConductors(
-        hosts: readonly HostId[],
-    ): Promise<readonly { readonly conductor: HostId | undefined; readonly zone: ZoneId; }[]> {
+    private async requestConductors(hosts: readonly HostId[]): Promise<readonly ConductorReport[]> {
         const answers = await Promise.all(hosts.map(async host => {
             this.peers.setAddress(host, host);
             const res = await this.peers.ask(host, "conductor-ask", {}, after(this.clock.now(), answerMarginMs));
@@ -312,7 +328,7 @@
     /** Asks the seeds for the conductor; true when one of another zone answered. */
     private async requestFromSeeds(): Promise<boolean> {
         const answers = await this.requestConductors(this.options.seeds);
-        this.conductor.adoptReportedConductor(answers.find(({ conductor }) => conductor !== undefined)?.conductor);
+        this.conductor.adoptReportedConductor(latestClaim(answers)?.conductor);
         return answers.some(({ zone }) => zone !== this.options.zone);
     }
 
@@ -344,3 +360,9 @@
         });
     }
 }
+
+/** The report that names a conductor under the latest claim; reports of earlier software name no claim and come last. */
+function latestClaim(reports: readonly ConductorReport[]): ConductorReport | undefined {
+    return reports.filter(({ conductor }) => conductor !== undefined)
+        .sort((a, b) => (b.fence ?? 0) - (a.fence ?? 0))[0];
+}
--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -120,6 +120,8 @@
     readonly conductor: () => RolloutHost | undefined;
     readonly call: (host: number, options?: CallOptions) => Promise<CallAnswer>;
     readonly submit: (job: Job) => Promise<string>;
+    /** Sends a request from one host to another, as the peer network does. */
+    readonly askPeer: PeerNetwork["ask"];
     readonly pause: (ms: number) => Promise<void>;
     readonly stop: () => void;
 }
@@ -445,6 +447,7 @@
             const gone = callerGone ?? new AbortController().signal;
             return hosts[host]!.forwarder.forward(table!.find("h", fullPath)!, call, deadline, handler, gone);
         },
+        askPeer: createPeers(asId<HostId>("outside")).ask,
         submit: async job => (await hosts[0]!.jobCalls.submit(job, after(clock.now(), 2000))).outcome,
         stop: () => hosts.forEach(host => host.stop()),
     };
