Keep the pause between the orders of two conductors when a claim is repeated or given up early

Engines could get orders of two hosts in turns (ONE) within the interval in which the platform forbids it. A host whose claim's answer is lost claims again over its own claim, took that for its own earlier term, and sent orders at once, though the holder before it may have sent some shortly before. A host that resigned before its own waiting time was over told its successor that there had been no order.

The claim's record now stores from when on its holder may send orders, and a resignation or handover tells of the orders of the holder before. Claims of the earlier build have no such field and are treated as before.

Tests: two in ConductorTask.test.ts and one in ConductorTerm.test.ts, which failed before.

--- a/packages/core/src/lib/conduct/ConductorTerm.test.ts
+++ b/packages/core/src/lib/conduct/ConductorTerm.test.ts
@@ -29,6 +29,13 @@
         expect(term.isValid(at(3000))).to.equal(true);
     });
 
+    it("knows the last order of an earlier term", () => {
+        const term = termFixture();
+        term.recordOrder(at(1200));
+        term.begin({ lease: asId<LeaseId>("m"), fence: 9 as KeyRevision }, at(4000), at(2000));
+        expect(term.lastOrderAt).to.equal(1200);
+    });
+
     it("allows no orders after its end", () => {
         const term = termFixture();
         term.end();
--- a/packages/core/src/lib/conduct/ConductorTerm.ts
+++ b/packages/core/src/lib/conduct/ConductorTerm.ts
@@ -20,18 +20,23 @@
 export class ConductorTerm {
     private claim: ConductorClaim | undefined;
     private validUntil = 0 as Instant;
-    private ordersNotBefore = 0 as Instant;
+    private ordersNotBefore = -Infinity as Instant;
     private orderedAt: Instant | undefined;
 
     get currentClaim(): ConductorClaim | undefined {
         return this.claim;
     }
 
-    /** When the last order of this term was sent, or undefined if none was. */
+    /** When this host last sent an order, in this term or an earlier one, or undefined if it sent none. */
     get lastOrderAt(): Instant | undefined {
         return this.orderedAt;
     }
 
+    /** From when on orders may be sent in this term or the last one; before the first term, the distant past. */
+    get ordersNotBeforeAt(): Instant {
+        return this.ordersNotBefore;
+    }
+
     /** Until when the lease is certain to be valid, or was, once the term has ended. */
     get validUntilAt(): Instant {
         return this.validUntil;
@@ -42,7 +47,6 @@
         this.claim = claim;
         this.validUntil = validUntil;
         this.ordersNotBefore = ordersNotBefore;
-        this.orderedAt = undefined;
     }
 
     /** Sets the time from which orders may be sent. */
--- a/packages/rollout/src/lib/ConductorTask.test.ts
+++ b/packages/rollout/src/lib/ConductorTask.test.ts
@@ -200,6 +200,39 @@
         expect(task.conductor).to.equal(other);
     });
 
+    // Guards against orders of two hosts that take turns, when a claim's answer is lost and the claim is made again.
+    it("waits with orders for those of an earlier conductor, also when it claims again over its own claim", async () => {
+        const { clock: stepping, store, createTask } = pausedFixture();
+        const { task } = createTask(self);
+        store.setFaults(["answer-lost"]);
+        for (let nth = 0; nth < 2; nth++) {
+            const lookup = task.lookUpClaim();
+            await stepping.advance(500);
+            await lookup;
+        }
+        expect(task.isConductor).to.equal(true);
+        expect(task.term.canOrder(stepping.now())).to.equal(false);
+        await stepping.advance(defaultRolloutSettings.orderCalmMs);
+        expect(task.term.canOrder(stepping.now())).to.equal(true);
+    });
+
+    it("tells its successor of the orders of its own predecessor that may be recent", async () => {
+        const { clock: stepping, store, createTask } = pausedFixture();
+        const [first, second] = [createTask(self).task, createTask(other).task];
+        const claims = async (task: ConductorTask): Promise<void> => {
+            const lookup = task.lookUpClaim();
+            await stepping.advance(200);
+            await lookup;
+        };
+        await claims(first);
+        expect(first.lastOrderAgeMs).to.be.within(100, 300);
+        await first.resign();
+        const { resigned } = unpack((await store.get(jobKeys.claim)).unsafeCoerce()!.value);
+        expect(resigned.lastOrderAt).to.be.within(Date.now() - 1000, Date.now());
+        await claims(second);
+        expect(second.term.canOrder(stepping.now())).to.equal(false);
+    });
+
     it("ignores states of the claim's key, and reports of conductors, from before its own claim", async () => {
         const { clock: stepping, store, createTask } = pausedFixture();
         const before = await putClaim(store, other);
--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -26,7 +26,12 @@
 /** The value of the claim's key. */
 interface ClaimRecord {
     readonly host: HostId;
-    /** Set when the holder resigned. `lastOrderAt` is in Unix milliseconds, and undefined when it sent no order. */
+    /**
+     * Unix milliseconds from which the holder may send orders, since an earlier holder may have sent some shortly before the
+     * claim. Claims of earlier software have none.
+     */
+    readonly ordersNotBefore?: number;
+    /** Set when the holder resigned. `lastOrderAt`, in Unix milliseconds, is when it or a holder before it last sent an order. */
     readonly resigned?: { readonly lastOrderAt: number | undefined; };
 }
 
@@ -199,10 +204,15 @@
         return true;
     }
 
-    /** Milliseconds since this host's last order, or undefined when it sent none. */
+    /**
+     * Milliseconds since the last order of this host, or since one that an earlier holder may have sent; undefined when this
+     * host has never held the claim.
+     */
     get lastOrderAgeMs(): number | undefined {
-        const { lastOrderAt } = this.term;
-        return lastOrderAt === undefined ? undefined : this.clock.now() - lastOrderAt;
+        const { lastOrderAt = -Infinity, ordersNotBeforeAt } = this.term;
+        const earlierOrderAt = after(ordersNotBeforeAt, -this.options.settings.orderCalmMs);
+        const ageMs = this.clock.now() - Math.max(lastOrderAt, earlierOrderAt);
+        return Number.isFinite(ageMs) ? ageMs : undefined;
     }
 
     /** Records that a claim under `fence` has existed. */
@@ -229,10 +239,8 @@
         if (claim === undefined) {
             return;
         }
-        const lastOrderAt = this.term.lastOrderAt === undefined
-            ? undefined
-            : Date.now() - (this.clock.now() - this.term.lastOrderAt);
-        const { leaseLeftMs } = this;
+        const { leaseLeftMs, lastOrderAgeMs } = this;
+        const lastOrderAt = lastOrderAgeMs === undefined ? undefined : Date.now() - lastOrderAgeMs;
         this.term.end();
         const record: ClaimRecord = { host: this.options.self, resigned: { lastOrderAt } };
         const res = await this.store.commit(
@@ -258,10 +266,12 @@
         if (lease === undefined || !this.options.canClaim() || this.clock.now() >= lease.deadline) {
             return;
         }
+        const orderDelayMs = this.orderDelayMs(record);
+        const claimed: ClaimRecord = { host: this.options.self, ordersNotBefore: Date.now() + orderDelayMs };
         const res = await this.store.commit(
             {
                 expected: [{ key: jobKeys.claim, revision: item?.revision ?? 0 as KeyRevision }],
-                puts: [{ key: jobKeys.claim, value: pack({ host: this.options.self }), lease: lease.id }],
+                puts: [{ key: jobKeys.claim, value: pack(claimed), lease: lease.id }],
                 removes: [],
             },
             "conductor",
@@ -279,33 +289,38 @@
                     this.logLoss(claim, "The lease ended before the answer to the claim.", undefined, lease.deadline);
                     return;
                 }
-                await this.beginTerm(claim, lease.deadline, record);
+                await this.beginTerm(claim, lease.deadline, orderDelayMs, record?.host);
             },
         });
     }
 
+    /** Milliseconds for which a claim that replaces `previous` gives no right to send orders. */
+    private orderDelayMs(previous: ClaimRecord | undefined): number {
+        const { orderCalmMs } = this.options.settings;
+        const now = Date.now();
+        const allowedAt = previous?.resigned !== undefined
+            ? (previous.resigned.lastOrderAt ?? -Infinity) + orderCalmMs
+            : previous?.host === this.options.self
+            ? previous.ordersNotBefore ?? now
+            : now + orderCalmMs;
+        // The clocks of hosts differ.
+        return Math.min(orderCalmMs, Math.max(0, allowedAt - now));
+    }
+
     private async beginTerm(
         claim: ConductorClaim,
         deadline: Instant,
-        previousClaim: ClaimRecord | undefined,
+        orderDelayMs: number,
+        previousHolder: HostId | undefined,
     ): Promise<void> {
-        const claimedAt = this.clock.now();
-        const { orderCalmMs } = this.options.settings;
-        const resignedAt = previousClaim?.resigned?.lastOrderAt;
-        const wasOwnClaim = previousClaim?.host === this.options.self;
-        const orderDelayMs = previousClaim?.resigned === undefined
-            ? wasOwnClaim ? 0 : orderCalmMs
-            : resignedAt === undefined
-            ? 0
-            : Math.max(0, resignedAt + orderCalmMs - Date.now());
-        this.term.begin(claim, deadline, after(claimedAt, orderDelayMs));
+        this.term.begin(claim, deadline, after(this.clock.now(), orderDelayMs));
         if (!this.options.canClaim()) {
             // The host began to stop while the claim was on its way.
             await this.stepDown();
             return;
         }
         this.journal.log("conductor-claimed", { fence: claim.fence, ordersInMs: orderDelayMs });
-        const predecessor = previousClaim?.host ?? this.currentConductor ?? this.predecessor;
+        const predecessor = previousHolder ?? this.currentConductor ?? this.predecessor;
         void this.renewLoop();
         if (predecessor !== undefined && predecessor !== this.options.self) {
             await Promise.race([this.takeOver(predecessor, claim), this.pause(takeOverWaitMs)]);
--- a/packages/rollout/src/lib/LeaseStore.test.ts
+++ b/packages/rollout/src/lib/LeaseStore.test.ts
@@ -44,10 +44,15 @@
     override async commit(commit: Commit): Promise<Either<KeyValueFailure, CommitResult>> {
         this.expire();
         const res = await super.commit(commit);
-        if (res.isRight() && res.extract().kind === "committed") {
-            commit.puts.forEach(({ key, lease }) =>
-                lease === undefined ? this.leasedKeys.delete(key) : this.leasedKeys.set(key, lease)
-            );
+        for (const { key, value, lease } of commit.puts) {
+            // The answer does not tell, if it is lost.
+            const isStored = (await super.get(key)).unsafeCoerce()?.value === value;
+            if (isStored && lease !== undefined) {
+                this.leasedKeys.set(key, lease);
+            }
+            else if (isStored) {
+                this.leasedKeys.delete(key);
+            }
         }
         const isClaim = commit.puts.some(({ key, lease }) => key === jobKeys.claim && lease !== undefined);
         const delayMs = isClaim ? this.claimAnswerDelaysMs.shift() ?? 0 : 0;
