Keep a job that has ended closed when it is submitted again

Cause: the end mark in the store is the record of an end, and the conductor's memory a copy of it. JobStore.keep reported the conflict with the mark as "kept", like the conflict with an open job, and the conductor opened what was kept unless it remembered the end. Two more ways of opening dropped an end that arrived while the job was not open yet: while its results were read, and while it waited for a route.

Now "ended" is an outcome of its own: accepted again, nothing opened, results as before. Ends of jobs that are not open are remembered while these may be opening. Submissions go to the conductor as job-keep, which an earlier build does not answer; the store decides then. The answer to an earlier build's job-submit stays "kept", and nothing is opened.

--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -223,9 +223,15 @@
     readonly lastOrderAgeMs: number | undefined;
 }
 
-/** Whether a submitted job is stored; "unknown" means that it may be. */
+/** Whether a submitted job is stored, or was and has ended; "unknown" means that it may be stored. */
 export interface JobAcceptance {
-    readonly outcome: "kept" | "not-kept" | "unknown";
+    readonly outcome: "kept" | "ended" | "not-kept" | "unknown";
+}
+
+/** A job that a caller submitted; the conductor has `deadlineMs` milliseconds to store it. */
+export interface JobSubmission {
+    readonly job: Job;
+    readonly deadlineMs: number;
 }
 
 /** Results as listed by the conductor. */
@@ -349,10 +355,13 @@
      * former conductor's state. The answer is a problem when the receiver knows of a later claim.
      */
     "conductor-yield": { readonly ask: { readonly fence: KeyRevision; }; readonly answer: ConductorHandover; };
-    "job-submit": {
-        readonly ask: { readonly job: Job; readonly deadlineMs: number; };
-        readonly answer: JobAcceptance;
-    };
+    /** Stores a job and begins to run it, unless it has ended. */
+    "job-keep": { readonly ask: JobSubmission; readonly answer: JobAcceptance; };
+    /**
+     * What hosts of earlier software send for "job-keep". It is answered but not sent: a conductor of earlier software would
+     * run a job again that has ended. The answer "kept" includes ended jobs.
+     */
+    "job-submit": { readonly ask: JobSubmission; readonly answer: JobAcceptance; };
     "job-read": {
         readonly ask: { readonly job: JobId; readonly after: number; readonly waitMs: number; };
         readonly answer: ConductorPage;
--- a/packages/rollout/src/lib/JobCallHandler.ts
+++ b/packages/rollout/src/lib/JobCallHandler.ts
@@ -13,6 +13,7 @@
     type Job,
     type JobAcceptance,
     type JobId,
+    type JobSubmission,
     type JobUnknown,
     msUntil,
     pageOf,
@@ -68,10 +69,11 @@
         private readonly clock: Clock,
         private readonly journal: Journal,
     ) {
-        peers.handle("job-submit", async ({ job, deadlineMs }) =>
-            this.conductor.isSure
-                ? Right(await this.storeAndOpen(job, after(this.clock.now(), deadlineMs)))
-                : Left(notConductor));
+        peers.handle("job-keep", submission => this.keepForPeer(submission));
+        peers.handle("job-submit", async submission =>
+            (await this.keepForPeer(submission)).map(({ outcome }) => ({
+                outcome: outcome === "ended" ? "kept" : outcome,
+            })));
         peers.handle("job-read", ask => this.readLocally(ask.job, ask.after, ask.waitMs));
         peers.handle("job-body", async ask => this.bodyLocally(ask.job, ask.task));
         peers.handle("job-end", ask => this.endLocally(ask.job));
@@ -81,7 +83,12 @@
     async submit(job: Job, deadline: Instant): Promise<JobAcceptance> {
         const retryUntil = after(deadline, -submitAnswerMarginMs);
         const { acceptance, route } = await this.submitToConductorOrStore(job, retryUntil);
-        const event = { kept: "job-kept", "not-kept": "job-refused", unknown: "job-unsure" } as const;
+        const event = {
+            "kept": "job-kept",
+            "ended": "job-ended-before",
+            "not-kept": "job-refused",
+            "unknown": "job-unsure",
+        } as const;
         this.journal.log(event[acceptance.outcome], {
             job: job.id,
             step: job.step,
@@ -144,12 +151,12 @@
             const host = this.conductor.conductor;
             const res = await this.peers.ask(
                 host,
-                "job-submit",
+                "job-keep",
                 { job, deadlineMs: ms },
                 after(this.clock.now(), ms + 200),
             );
             const answer = res.toMaybe().chain(inner => inner.toMaybe()).extract();
-            if (answer?.outcome === "kept") {
+            if (answer?.outcome === "kept" || answer?.outcome === "ended") {
                 return { acceptance: answer, route: host };
             }
             mayBeKept = answer?.outcome === "unknown" || res.isLeft() && res.extract().reason === "no-answer";
@@ -159,8 +166,17 @@
         return { acceptance: { outcome: isUnsure ? "unknown" : outcome }, route: "store" };
     }
 
-    /** Stores a job and opens it on this host, which is the conductor. */
+    private async keepForPeer({ job, deadlineMs }: JobSubmission): Promise<Either<Problem, JobAcceptance>> {
+        return this.conductor.isSure
+            ? Right(await this.storeAndOpen(job, after(this.clock.now(), deadlineMs)))
+            : Left(notConductor);
+    }
+
+    /** Stores a job and opens it on this host, which is the conductor, unless the job has ended. */
     private async storeAndOpen(job: Job, deadline: Instant): Promise<JobAcceptance> {
+        if (this.registry.hasEnded(job.id)) {
+            return { outcome: "ended" };
+        }
         if (this.registry.has(job.id)) {
             return { outcome: "kept" };
         }
--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -58,6 +58,8 @@
     readonly events = new Emittery<JobRegistryEvents>();
     private readonly writer: ResultWriter;
     private readonly ended = new Map<JobId, EndedJobLog>();
+    /** Jobs whose end became known while they were not open here, with the time of that. */
+    private readonly endedUnopened = new Map<JobId, Instant>();
     private readonly opening = new Set<JobId>();
     /** Results from a previous conductor, for jobs that are not open here yet. */
     private readonly inherited = new Map<JobId, TaskResult[]>();
@@ -95,6 +97,7 @@
         this.isActive = false;
         this.scheduler.open.forEach(open => void this.events.emit("stopped", this.scheduler.remove(open.job.id)));
         this.ended.clear();
+        this.endedUnopened.clear();
         this.unroutable.clear();
         this.inherited.clear();
     }
@@ -134,7 +137,7 @@
         this.opening.add(job.id);
         try {
             const log = isNew ? new JobLog() : await this.readLog(job.id);
-            if (!this.canOpen || this.ended.has(job.id)) {
+            if (!this.canOpen || this.hasEnded(job.id)) {
                 return;
             }
             (this.inherited.get(job.id) ?? []).forEach(result => log.add(result));
@@ -174,7 +177,7 @@
     }
 
     hasEnded(job: JobId): boolean {
-        return this.ended.has(job);
+        return this.ended.has(job) || this.endedUnopened.has(job);
     }
 
     /** Loads an ended job from the store into memory; false when the job has not ended or the store does not answer. */
@@ -191,7 +194,7 @@
     }
 
     has(job: JobId): boolean {
-        return this.scheduler.get(job) !== undefined || this.ended.has(job);
+        return this.scheduler.get(job) !== undefined || this.hasEnded(job);
     }
 
     /** The results of a job in memory, with the number of its tasks. */
@@ -204,7 +207,7 @@
     async end(id: JobId): Promise<boolean> {
         const open = this.scheduler.get(id);
         if (open === undefined) {
-            return this.ended.has(id);
+            return this.hasEnded(id);
         }
         const { job } = open;
         const res = await this.jobs.end(id, job.tasks.length, partsOf(job));
@@ -215,10 +218,15 @@
         return true;
     }
 
-    /** Closes a job that the store holds as ended, and stops its runs. */
+    /** Closes a job that the store holds as ended, and stops its runs; a job that is not open yet is not opened. */
     close(id: JobId): void {
         const open = this.scheduler.get(id);
         if (open === undefined) {
+            this.unroutable.delete(id);
+            this.inherited.delete(id);
+            if (!this.hasEnded(id)) {
+                this.endedUnopened.set(id, this.clock.now());
+            }
             return;
         }
         const stopped = this.scheduler.remove(id);
@@ -248,6 +256,11 @@
                 this.ended.delete(job);
             }
         }
+        for (const [job, knownAt] of this.endedUnopened) {
+            if (now - knownAt > endedJobTtlMs) {
+                this.endedUnopened.delete(job);
+            }
+        }
     }
 
     /** Removes ended jobs from the store after `keepResultsMs`, for which their results must stay readable. */
--- a/packages/rollout/src/lib/JobStore.ts
+++ b/packages/rollout/src/lib/JobStore.ts
@@ -33,8 +33,11 @@
     | { readonly kind: "ended"; readonly ended: EndedJob; }
     | { readonly kind: "absent"; };
 
-/** How a write ended; "unknown" means that it may have taken effect or may still do so. */
-export type StoreOutcome = "kept" | "not-kept" | "unknown";
+/**
+ * How the storing of a job ended: "ended" means that the job was stored before and has ended, "unknown" that it may be
+ * stored, now or later.
+ */
+export type StoreOutcome = "kept" | "ended" | "not-kept" | "unknown";
 
 /**
  * Why results could not be written; `claim` holds the current item of the claim's key when another host has the claim.
@@ -72,7 +75,7 @@
                 "jobs",
             );
             const settled = res.caseOf<StoreOutcome | undefined>({
-                Right: () => "kept",
+                Right: result => hasConflictAt(result, jobKeys.ended(job.id)) ? "ended" : "kept",
                 Left: failure => {
                     mayBeKept ||= failure.applied === "unknown";
                     return undefined;
@@ -221,6 +224,10 @@
     return documentsOf(job).length - 1;
 }
 
+function hasConflictAt(result: CommitResult, key: string): boolean {
+    return result.kind === "conflict" && result.current.some(item => item.key === key);
+}
+
 function decodeChunk(item: StoredItem): ResultChunk {
     return unpack(item.value) as ResultChunk;
 }
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -32,6 +32,7 @@
     "request-suspected": "The targets that ended while they ran a request changed, or a trial of it was permitted.",
     "target-resting": "A target is not used for a backoff time after a fault.",
     "job-kept": "A job is stored and will be run.",
+    "job-ended-before": "A job that has ended was submitted again; it is accepted, and nothing of it runs.",
     "job-refused": "A job was refused; nothing of it runs.",
     "job-unsure": "It is not known whether a job is stored.",
     "job-opened": "The conductor has begun to run a job.",
--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -18,6 +18,7 @@
     type PeerHandler,
     type PeerNetwork,
     type PeerRequestName,
+    problem,
     type RateLimitStatement,
     type RewardCallId,
     type Route,
@@ -120,6 +121,8 @@
     readonly conductor: () => RolloutHost | undefined;
     readonly call: (host: number, options?: CallOptions) => Promise<CallAnswer>;
     readonly submit: (job: Job) => Promise<string>;
+    /** Lets no host answer requests of this name, as hosts of a build that does not have them. */
+    readonly setUnhandled: (name: PeerRequestName) => void;
     /** Sends a request from one host to another, as the peer network does. */
     readonly askPeer: PeerNetwork["ask"];
     readonly pause: (ms: number) => Promise<void>;
@@ -218,6 +221,7 @@
     const ids = Array.from({ length: size }, (unused, nth) => asId<HostId>(`h${nth}`));
     const handlers = new Map<HostId, Map<string, PeerHandler<PeerRequestName>>>();
     const cut = new Set<HostId>();
+    const unhandled = new Set<string>();
     const arrivals: Arrival[] = [];
     const lines: JournalLine[] = [];
     const hostsById = new Map<HostId, RolloutHost>();
@@ -241,6 +245,9 @@
                     await sleepUntil(clock, deadline);
                     return Left({ reason: "no-answer", detail: "cut" });
                 }
+                if (unhandled.has(name)) {
+                    return Right(Left(problem("not-found", `The peer does not answer "${name}".`)));
+                }
                 const answer = await Promise.race([handler(ask, self), sleepUntil(clock, deadline)]);
                 return answer === undefined || isCut()
                     ? Left({ reason: "no-answer", detail: "late" })
@@ -447,6 +454,7 @@
             const gone = callerGone ?? new AbortController().signal;
             return hosts[host]!.forwarder.forward(table!.find("h", fullPath)!, call, deadline, handler, gone);
         },
+        setUnhandled: name => unhandled.add(name),
         askPeer: createPeers(asId<HostId>("outside")).ask,
         submit: async job => (await hosts[0]!.jobCalls.submit(job, after(clock.now(), 2000))).outcome,
         stop: () => hosts.forEach(host => host.stop()),
