Send all of the view to a host that got its revision from another process of the conductor

The configuration had changed while the conductor's process was restarting.

Cause: hosts remember the revision of the pulled view by the conductor's address, and a revision counts in one process. A new process counts to the same number with other documents behind it and answers that nothing is new. Rate limits and the records of requests that end their targets are pulled in the same way.

The fencing token of the claim now goes with the answers and comes back with the revisions; under another token all is sent. A host that reads the documents itself forgets the revision that it had. With a host of the build before at either end, what is not known to come from the same process is believed for one pull and then sent in full.

--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -164,7 +164,7 @@
 export interface ConductorView {
     /** Fencing token of the conductor's claim; undefined at a host that does not tell, or that holds no claim. */
     readonly fence?: KeyRevision;
-    /** Incremented with each change at this conductor. */
+    /** Counts the changes in this process of the conductor. */
     readonly number: number;
     /** Milliseconds since the conductor read it from the store; undefined before the first read. */
     readonly ageMs: number | undefined;
@@ -302,7 +302,13 @@
     /** Returns the conductor's view of the platform's documents; waits for a limited time for one newer than `have`. */
     "view-pull": {
         readonly ask: {
+            /** Number of the view that the sender has, or -1. */
             readonly have: number;
+            /**
+             * Fencing token of the claim under which the sender got `have`, `haveLimits` and `haveCrashes`; undefined if it
+             * has none, or does not tell.
+             */
+            readonly haveFence?: KeyRevision;
             /** Revision of the rate limits; undefined at a host that does not pull them. */
             readonly haveLimits?: number;
             /** The same for the records of requests that may end targets. */
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -6,17 +6,19 @@
 import {
     after,
     type Clock,
+    type ConductorView,
     type HostId,
     type Instant,
     type KeyRevision,
     type PeerNetwork,
     type PeerRequests,
     type PlatformDocuments,
+    type Problem,
     type RelayHost,
     sleepUntil,
     type ZoneId,
 } from "@tamarackpath/core";
-import { Right } from "purify-ts";
+import { type Either, Right } from "purify-ts";
 import { type ConductorTask } from "./ConductorTask.js";
 import { type CrashGuard } from "./CrashGuard.js";
 import { type HostView } from "./HostView.js";
@@ -76,6 +78,26 @@
 /** Another host's answer about the conductor. */
 type ConductorReport = PeerRequests["conductor-ask"]["answer"];
 
+interface RecentFollower extends Follower {
+    readonly at: Instant;
+    /** Number of the view whose content the last answer to this host had; undefined if it had none. */
+    readonly sentView: number | undefined;
+}
+
+/** A view that this host pulled. Its revisions count the changes in one process of the conductor. */
+interface PulledView {
+    readonly host: HostId;
+    /** Fencing token of the conductor's claim, which no other process has had; earlier software tells none. */
+    readonly fence: KeyRevision | undefined;
+    readonly hadContent: boolean;
+    readonly number: number;
+    readonly limits: number;
+    readonly crashes: number;
+}
+
+/** The revisions that a host that pulls has; -1 if all is to be sent, and undefined for what it does not pull. */
+type HeldRevisions = Pick<PeerRequests["view-pull"]["ask"], "have" | "haveLimits" | "haveCrashes">;
+
 /** Runs the loops of a host's view. */
 export class ViewTask {
     private stopped = false;
@@ -83,15 +105,9 @@
     private hasConductorAnswered = false;
     /** Number of consecutive pulls without an answer. */
     private missedPulls = 0;
-    private readonly followersByHost = new Map<HostId, Follower & { readonly at: Instant; }>();
-    /** The conductor from which a view was last pulled, and the revision of that view. */
-    private lastPulledView: {
-        readonly host: HostId;
-        readonly fence: KeyRevision | undefined;
-        readonly number: number;
-        readonly limits: number;
-        readonly crashes: number;
-    } | undefined;
+    private readonly followersByHost = new Map<HostId, RecentFollower>();
+    /** The view that was last pulled; undefined once this host has read the documents itself. */
+    private lastPulledView: PulledView | undefined;
 
     constructor(
         private readonly options: ViewTaskOptions,
@@ -104,28 +120,7 @@
         private readonly clock: Clock,
         private readonly journal: Journal,
     ) {
-        peers.handle("view-pull", async ({ have, haveLimits, haveCrashes, zone, hasCallers, reachesTargets }, from) => {
-            const follower = { host: from, zone, hasCallers, reachesTargets: reachesTargets === true, at: clock.now() };
-            this.followersByHost.set(from, follower);
-            await this.waitForChange(have, haveLimits, haveCrashes);
-            const { revision, ageMs, operator } = view;
-            const content = revision === have ? undefined : { operator, targets: view.directory.targets };
-            return Right({
-                fence: conductor.term.currentClaim?.fence,
-                number: revision,
-                ageMs: conductor.isSure ? ageMs : undefined,
-                readAgeMs: view.readAgeMs,
-                content,
-                limits: haveLimits === undefined
-                    ? undefined
-                    : { number: permits.revision, reports: permits.changesSince(haveLimits) },
-                crashes: haveCrashes === undefined
-                    ? undefined
-                    : { number: crashes.revision, reports: crashes.changesSince(haveCrashes) },
-                hosts: this.followers.length + 1,
-                relays: options.relaysFor(from, zone),
-            });
-        });
+        peers.handle("view-pull", (ask, from) => this.answerPull(ask, from));
         peers.handle("conductor-ask", async () => {
             const { zone } = options;
             const isKnown = conductor.isConductor || this.hasConductorAnswered;
@@ -199,7 +194,10 @@
     private async readTargets(): Promise<void> {
         const startedAt = this.clock.now();
         const res = await this.documents.readTargets();
-        res.ifRight(read => this.view.applyTargets(read, undefined, startedAt));
+        res.ifRight(read => {
+            this.view.applyTargets(read, undefined, startedAt);
+            this.lastPulledView = undefined;
+        });
         res.ifLeft(() => this.view.directory.recordFailure(startedAt));
     }
 
@@ -251,14 +249,25 @@
         return res.toMaybe().chain(answer => answer.toMaybe()).extract()?.conductor === host;
     }
 
+    /**
+     * What this host may say that it has of the conductor `host`. A conductor of earlier software does not tell which of its
+     * processes answered, so what came from it is only offered once, and then all is pulled again.
+     */
+    private revisionsToOffer(host: HostId): PulledView | undefined {
+        const last = this.lastPulledView;
+        const isOffered = last?.host === host && (last.fence !== undefined || last.hadContent);
+        return isOffered ? last : undefined;
+    }
+
     private async pull(host: HostId): Promise<boolean> {
         this.peers.setAddress(host, host);
         const { zone, hasCallers } = this.options;
-        const last = this.lastPulledView?.host === host ? this.lastPulledView : undefined;
+        const last = this.revisionsToOffer(host);
         const ask = {
             have: last?.number ?? -1,
             haveLimits: last?.limits ?? -1,
             haveCrashes: last?.crashes ?? -1,
+            haveFence: last?.fence,
             zone,
             hasCallers,
             reachesTargets: this.options.reachesTargets(),
@@ -279,6 +288,7 @@
         this.lastPulledView = {
             host,
             fence: shared.fence,
+            hadContent: shared.content !== undefined,
             number: shared.number,
             limits: shared.limits?.number ?? -1,
             crashes: shared.crashes?.number ?? -1,
@@ -303,6 +313,59 @@
         return true;
     }
 
+    private async answerPull(
+        ask: PeerRequests["view-pull"]["ask"],
+        from: HostId,
+    ): Promise<Either<Problem, ConductorView>> {
+        const { view, permits, crashes, conductor, options } = this;
+        const { zone, hasCallers } = ask;
+        const follower = { host: from, zone, hasCallers, reachesTargets: ask.reachesTargets === true };
+        const { have, haveLimits, haveCrashes } = this.heldRevisions(ask, this.followersByHost.get(from));
+        this.followersByHost.set(from, { ...follower, at: this.clock.now(), sentView: undefined });
+        await this.waitForChange({ have, haveLimits, haveCrashes });
+        const { revision, ageMs, operator } = view;
+        const content = revision === have ? undefined : { operator, targets: view.directory.targets };
+        this.followersByHost.set(from, {
+            ...follower,
+            at: this.clock.now(),
+            sentView: content === undefined ? undefined : revision,
+        });
+        return Right({
+            fence: conductor.term.currentClaim?.fence,
+            number: revision,
+            ageMs: conductor.isSure ? ageMs : undefined,
+            readAgeMs: view.readAgeMs,
+            content,
+            limits: haveLimits === undefined
+                ? undefined
+                : { number: permits.revision, reports: permits.changesSince(haveLimits) },
+            crashes: haveCrashes === undefined
+                ? undefined
+                : { number: crashes.revision, reports: crashes.changesSince(haveCrashes) },
+            hosts: this.followers.length + 1,
+            relays: options.relaysFor(from, zone),
+        });
+    }
+
+    /**
+     * The revisions that a host has of this process. Another process under the same address may have counted to the same
+     * numbers. A host of earlier software does not tell which process it means, and is believed only if the last answer had
+     * the content of that revision; as that answer may have been lost, the next one has it again.
+     */
+    private heldRevisions(
+        { have, haveLimits, haveCrashes, haveFence }: PeerRequests["view-pull"]["ask"],
+        known: RecentFollower | undefined,
+    ): HeldRevisions {
+        const isOfThisProcess = haveFence === undefined
+            ? known?.sentView === have
+            : haveFence === this.conductor.term.currentClaim?.fence;
+        return isOfThisProcess ? { have, haveLimits, haveCrashes } : {
+            have: -1,
+            haveLimits: haveLimits === undefined ? undefined : -1,
+            haveCrashes: haveCrashes === undefined ? undefined : -1,
+        };
+    }
+
     /** Asks recent followers and the seeds for another conductor, in which case this host's claim has lapsed. */
     private async checkForSuccessor(): Promise<void> {
         const recentFollowers = [...this.followersByHost.values()].sort((a, b) => b.at - a.at).map(({ host }) => host);
@@ -333,11 +396,7 @@
     }
 
     /** Resolves when this host has something newer than the revisions that another host has, or after `pullWaitMs`. */
-    private waitForChange(
-        have: number,
-        haveLimits: number | undefined,
-        haveCrashes: number | undefined,
-    ): Promise<void> {
+    private waitForChange({ have, haveLimits, haveCrashes }: HeldRevisions): Promise<void> {
         const { view, permits, crashes } = this;
         if (
             view.revision !== have || (haveLimits ?? permits.revision) !== permits.revision
