Treat a conductor that claims anew under its address as a new conductor

A restarted conductor did not get what the other hosts had recorded (rate limits of targets, requests that end their targets) until something changed there, nor the standbys' copies, which its first own copy then replaced: samples began again.

The conductor is now known by its address and the fencing token of its claim, as the store or the conductor's answers show it; a new token is announced like another host. Reports of a conductor under an older token are ignored.

Tests: two in ConductorTask.test.ts, which failed before (the second for want of the method).

--- a/packages/rollout/src/lib/ConductorTask.test.ts
+++ b/packages/rollout/src/lib/ConductorTask.test.ts
@@ -143,7 +143,7 @@
     it("begins no term when the answer to its claim arrives after the lease, and stops no successor", async () => {
         const { clock: stepping, store, yieldRequests, createTask } = pausedFixture();
         const [paused, successor] = [createTask(self), createTask(other)];
-        paused.task.adoptReportedConductor(other);
+        paused.task.adoptReportedConductor(other, undefined);
         store.claimAnswerDelaysMs.push(3300);
         const lookup = paused.task.lookUpClaim();
         await stepping.advance(leaseMs + 100);
@@ -162,7 +162,7 @@
     it("begins no work when it was paused beyond its lease after it began its term", async () => {
         const { clock: stepping, createTask } = pausedFixture(leaseMs + 1);
         const { task, claimed } = createTask(self);
-        task.adoptReportedConductor(other);
+        task.adoptReportedConductor(other, undefined);
         stepping.pass(leaseMs);
         const lookup = task.lookUpClaim();
         await stepping.advance(10);
@@ -233,6 +233,40 @@
         expect(second.term.canOrder(stepping.now())).to.equal(false);
     });
 
+    // Guards against reports and copies that a restarted conductor never gets, because its address is the same.
+    it("announces a conductor again when the store shows that it has claimed anew", async () => {
+        const { clock: stepping, store, createTask } = pausedFixture();
+        const { task } = createTask(self);
+        const announced: (HostId | undefined)[] = [];
+        task.events.on("conductor", host => {
+            announced.push(host);
+        });
+        const { revision } = await putClaim(store, other);
+        await task.lookUpClaim();
+        await task.lookUpClaim();
+        await putClaim(store, other, revision);
+        await task.lookUpClaim();
+        await stepping.advance(1);
+        expect(announced).to.deep.equal([other, other]);
+    });
+
+    it("announces a conductor again when it says that it has claimed anew, and none under an older claim", async () => {
+        const { clock: stepping, createTask } = pausedFixture();
+        const { task } = createTask(self);
+        const announced: (HostId | undefined)[] = [];
+        task.events.on("conductor", host => {
+            announced.push(host);
+        });
+        task.adoptReportedConductor(other, 5 as KeyRevision);
+        expect(task.recordTerm(other, 5 as KeyRevision)).to.equal(true);
+        expect(task.recordTerm(other, 9 as KeyRevision)).to.equal(true);
+        expect(task.recordTerm(other, 5 as KeyRevision)).to.equal(false);
+        task.adoptReportedConductor(asId<HostId>("third"), 7 as KeyRevision);
+        await stepping.advance(1);
+        expect(announced).to.deep.equal([other, other]);
+        expect(task.conductor).to.equal(other);
+    });
+
     it("ignores states of the claim's key, and reports of conductors, from before its own claim", async () => {
         const { clock: stepping, store, createTask } = pausedFixture();
         const before = await putClaim(store, other);
@@ -271,10 +305,10 @@
             takeOver: async () => undefined,
         };
         const task = new ConductorTask(options, store, clock, noopJournal);
-        task.adoptReportedConductor(other);
+        task.adoptReportedConductor(other, undefined);
         expect(task.conductor).to.equal(other);
         await task.lookUpClaim();
-        task.adoptReportedConductor(other);
+        task.adoptReportedConductor(other, undefined);
         expect(task.conductor).to.equal(undefined);
     });
 
@@ -319,7 +353,7 @@
 
     it("begins without the previous conductor's work when that host does not answer", async () => {
         const { task, claimed } = conductorFixture(5000, () => new Promise(() => undefined));
-        task.adoptReportedConductor(other);
+        task.adoptReportedConductor(other, undefined);
         await passMs(1);
         const startedAt = clock.now();
         await task.lookUpClaim();
--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -80,6 +80,8 @@
     readonly events = new Emittery<ConductorEvents>();
     readonly term = new ConductorTerm();
     private currentConductor: HostId | undefined;
+    /** Fencing token of the claim of `currentConductor`, if it is known; earlier software does not tell it. */
+    private conductorFence: KeyRevision | undefined;
     /** The last known conductor before the current one. */
     private predecessor: HostId | undefined;
     /** When the store last answered a lookup of the claim. */
@@ -128,7 +130,7 @@
         this.recordFence(item?.revision);
         const record = item === undefined ? undefined : decodeClaim(item);
         if (record !== undefined && record.resigned === undefined && record.host !== this.options.self) {
-            this.setConductor(record.host);
+            this.setConductor(record.host, item?.revision);
             return true;
         }
         this.setConductor(undefined);
@@ -141,14 +143,34 @@
         return true;
     }
 
-    /** Adopts the conductor that another host reports, unless the store has answered more recently. */
-    adoptReportedConductor(host: HostId | undefined): void {
+    /**
+     * Adopts the conductor that another host reports, unless the store has answered more recently. `fence` is undefined in
+     * reports of earlier software.
+     */
+    adoptReportedConductor(host: HostId | undefined, fence: KeyRevision | undefined): void {
         const isOlderThanStore = this.clock.now() - this.lastStoreAnswerAt < storeAnswerTtlMs;
-        if (host !== undefined && host !== this.options.self && !this.isConductor && !isOlderThanStore) {
-            this.setConductor(host);
+        const isStale = isOlderThanStore || fence !== undefined && this.isOutdated(fence);
+        if (host !== undefined && host !== this.options.self && !this.isConductor && !isStale) {
+            this.recordFence(fence);
+            this.setConductor(host, fence);
         }
     }
 
+    /**
+     * Records under which claim a host says that it conducts; false when a later claim is known. The conductor's next claim
+     * makes it a new conductor, as its process may have started anew.
+     */
+    recordTerm(host: HostId, fence: KeyRevision): boolean {
+        if (this.isOutdated(fence)) {
+            return false;
+        }
+        this.recordFence(fence);
+        if (host === this.currentConductor) {
+            this.setConductor(host, fence);
+        }
+        return true;
+    }
+
     /**
      * Adopts a successor that other hosts report, while this host's own claim may have lapsed. `fence` is the successor's
      * fencing token; hosts of earlier software report none.
@@ -158,7 +180,7 @@
         const isStale = claim !== undefined && fence !== undefined && fence < claim.fence;
         if (host !== this.options.self && claim !== undefined && !this.isSure && !isStale) {
             this.endTerm("Other hosts report another conductor.", fence);
-            this.setConductor(host);
+            this.setConductor(host, fence);
         }
     }
 
@@ -176,7 +198,7 @@
             );
             const record = item === undefined ? undefined : decodeClaim(item);
             if (record !== undefined && record.resigned === undefined && record.host !== this.options.self) {
-                this.setConductor(record.host);
+                this.setConductor(record.host, item?.revision);
             }
         }
     }
@@ -199,7 +221,7 @@
         this.endTerm("A successor holds the claim.", fence);
         this.recordFence(fence);
         if (this.currentConductor === undefined || this.currentConductor === this.options.self) {
-            this.setConductor(successor);
+            this.setConductor(successor, fence);
         }
         return true;
     }
@@ -216,14 +238,14 @@
     }
 
     /** Records that a claim under `fence` has existed. */
-    recordFence(fence: KeyRevision | undefined): void {
+    private recordFence(fence: KeyRevision | undefined): void {
         if (fence !== undefined && fence > this.latestFence) {
             this.latestFence = fence;
         }
     }
 
     /** Whether a claim later than the one under `fence` has existed. */
-    isOutdated(fence: KeyRevision): boolean {
+    private isOutdated(fence: KeyRevision): boolean {
         return fence < this.latestFence;
     }
 
@@ -329,7 +351,7 @@
             this.endTerm("The lease ended before the work began.");
         }
         if (this.term.currentClaim === claim) {
-            this.setConductor(this.options.self);
+            this.setConductor(this.options.self, claim.fence);
             await this.events.emit("claimed");
         }
     }
@@ -408,13 +430,18 @@
         });
     }
 
-    private setConductor(host: HostId | undefined): void {
+    private setConductor(host: HostId | undefined, fence?: KeyRevision): void {
+        const isSameClaim = fence === undefined || fence === this.conductorFence;
+        if (host === this.currentConductor && isSameClaim) {
+            return;
+        }
         if (host !== this.currentConductor) {
             this.predecessor = this.currentConductor ?? this.predecessor;
-            this.currentConductor = host;
-            this.journal.log("conductor-changed", { conductor: host ?? "none" });
-            void this.events.emit("conductor", host);
         }
+        this.currentConductor = host;
+        this.conductorFence = fence;
+        this.journal.log("conductor-changed", { conductor: host ?? "none", otherFence: fence });
+        void this.events.emit("conductor", host);
     }
 
     private pause(ms: number): Promise<void> {
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -279,11 +279,8 @@
         if (shared?.ageMs === undefined) {
             return false;
         }
-        if (shared.fence !== undefined) {
-            if (this.conductor.isOutdated(shared.fence)) {
-                return false;
-            }
-            this.conductor.recordFence(shared.fence);
+        if (shared.fence !== undefined && !this.conductor.recordTerm(host, shared.fence)) {
+            return false;
         }
         this.lastPulledView = {
             host,
@@ -391,7 +388,8 @@
     /** Asks the seeds for the conductor; true when one of another zone answered. */
     private async requestFromSeeds(): Promise<boolean> {
         const answers = await this.requestConductors(this.options.seeds);
-        this.conductor.adoptReportedConductor(latestClaim(answers)?.conductor);
+        const latest = latestClaim(answers);
+        this.conductor.adoptReportedConductor(latest?.conductor, latest?.fence);
         return answers.some(({ zone }) => zone !== this.options.zone);
     }
 
--- a/packages/rollout/src/lib/viewRevisions.test.ts
+++ b/packages/rollout/src/lib/viewRevisions.test.ts
@@ -70,8 +70,7 @@
         isConductor: fence !== undefined,
         isSure: fence !== undefined,
         term: { currentClaim: fence === undefined ? undefined : { fence: fence as KeyRevision } },
-        isOutdated: () => false,
-        recordFence: () => undefined,
+        recordTerm: () => true,
         adoptReportedConductor: () => undefined,
         lookUpClaim: async () => true,
     } as unknown as ConductorTask;
