Let a standby that started anew ask for everything, and refuse copies under an older claim

After a restart of a standby the conductor went on sending it additions to copies that it no longer had; it dropped them, acknowledged them, and had nothing to pass on when the conductor was lost: samples began again. After a short freeze a deposed conductor's copy made standbys pass the successor's work to it.

An answer now says that the standby lacks what a copy adds to, and copies carry the token.

Tests: four in StandbyTask.test.ts, which failed before.

--- a/packages/core/src/lib/conduct/ConductorTerm.ts
+++ b/packages/core/src/lib/conduct/ConductorTerm.ts
@@ -19,6 +19,7 @@
 /** Tracks the lease of one host's term as conductor, and when the host may send orders. */
 export class ConductorTerm {
     private claim: ConductorClaim | undefined;
+    private lastClaim: ConductorClaim | undefined;
     private validUntil = 0 as Instant;
     private ordersNotBefore = -Infinity as Instant;
     private orderedAt: Instant | undefined;
@@ -27,6 +28,11 @@
         return this.claim;
     }
 
+    /** Fencing token of the current claim, or of the last one once the term has ended. */
+    get lastFence(): KeyRevision | undefined {
+        return this.lastClaim?.fence;
+    }
+
     /** When this host last sent an order, in this term or an earlier one, or undefined if it sent none. */
     get lastOrderAt(): Instant | undefined {
         return this.orderedAt;
@@ -45,6 +51,7 @@
     /** Begins a term under `claim`. Orders may be sent from `ordersNotBefore` until shortly before `validUntil`. */
     begin(claim: ConductorClaim, validUntil: Instant, ordersNotBefore: Instant): void {
         this.claim = claim;
+        this.lastClaim = claim;
         this.validUntil = validUntil;
         this.ordersNotBefore = ordersNotBefore;
     }
--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -203,6 +203,8 @@
 
 /** What has changed at the conductor since its last update to a standby, which keeps it for the next conductor. */
 export interface StandbyUpdate {
+    /** Fencing token of the conductor's claim; earlier software sends none. */
+    readonly fence?: KeyRevision | undefined;
     /** True for the first update from this conductor; the standby drops what it kept before. */
     readonly isFirst: boolean;
     readonly results: readonly UnlistedResult[];
@@ -211,6 +213,11 @@
     readonly settled: readonly TaskId[];
 }
 
+/** Whether a standby lacks what an update adds to, as after its restart; earlier software does not tell. */
+export interface StandbyAnswer {
+    readonly needsAll?: boolean;
+}
+
 /** State of a conductor's jobs that is not in the store. */
 export interface UnstoredWork {
     readonly results: readonly UnlistedResult[];
@@ -344,7 +351,7 @@
     /** Ends a relayed attempt, as when its caller has left. */
     "relay-end": { readonly ask: { readonly relay: string; }; readonly answer: Record<string, never>; };
     /** Replicates unlisted results and unfinished texts to a standby, so that they survive a loss of the conductor. */
-    "standby-keep": { readonly ask: StandbyUpdate; readonly answer: Record<string, never>; };
+    "standby-keep": { readonly ask: StandbyUpdate; readonly answer: StandbyAnswer; };
     /** Sends the state that a standby keeps to a new conductor. */
     "standby-work": { readonly ask: UnstoredWork; readonly answer: Record<string, never>; };
     /** Returns the host that the receiver regards as the conductor, with the fencing token of its claim if it is known. */
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -204,6 +204,7 @@
                 followers: () => this.viewTask.followers,
                 adopt: work => this.adoptWork(work),
                 isConductor: () => this.conductor.isConductor,
+                fence: () => this.conductor.term.lastFence,
             },
             this.scheduler,
             this.registry,
--- a/packages/rollout/src/lib/StandbyTask.test.ts
+++ b/packages/rollout/src/lib/StandbyTask.test.ts
@@ -7,7 +7,9 @@
     type HostId,
     type JobId,
     JobScheduler,
+    type KeyRevision,
     type PeerNetwork,
+    type Problem,
     type ProgressSnapshot,
     sleepUntil,
     type StandbyUpdate,
@@ -18,7 +20,7 @@
     type ZoneId,
 } from "@tamarackpath/core";
 import { expect } from "chai";
-import { Left, Right } from "purify-ts";
+import { type Either, Left, Right } from "purify-ts";
 import { type JobRegistry } from "./JobRegistry.js";
 import { noopJournal } from "./Journal.js";
 import { addScoringJob } from "./scoringFixtures.test.js";
@@ -27,7 +29,8 @@
 const clock = createMonotonicClock();
 
 interface Fixture {
-    readonly keep: (copy: StandbyUpdate, from?: HostId) => Promise<unknown>;
+    /** Sends a copy to the standby, and returns its answer. */
+    readonly keep: (copy: StandbyUpdate, from?: HostId) => Promise<Either<Problem, { readonly needsAll?: boolean; }>>;
     readonly task: StandbyTask;
     readonly scheduler: JobScheduler;
     readonly passed: UnstoredWork[];
@@ -41,11 +44,11 @@
 }
 
 function standbyFixture({ unlisted = [], answer = async () => Right(Right({})) }: FixtureOptions = {}): Fixture {
-    const handlers = new Map<string, (ask: unknown, from: HostId) => Promise<unknown>>();
+    const handlers = new Map<string, (ask: unknown, from: HostId) => ReturnType<Fixture["keep"]>>();
     const passed: UnstoredWork[] = [];
     const copies: StandbyUpdate[] = [];
     const peers = {
-        handle: (name: string, handler: (ask: unknown, from: HostId) => Promise<unknown>) =>
+        handle: (name: string, handler: (ask: unknown, from: HostId) => ReturnType<Fixture["keep"]>) =>
             handlers.set(name, handler),
         setAddress: () => undefined,
         ask: async (unused: HostId, name: string, ask: unknown) => {
@@ -59,6 +62,7 @@
             () => [{ host: asId<HostId>("f"), zone: asId<ZoneId>("y"), hasCallers: false, reachesTargets: true }],
         adopt: () => undefined,
         isConductor: () => false,
+        fence: () => 5 as KeyRevision,
     };
     const scheduler = new JobScheduler(() => 1);
     const registry = { unlisted } as unknown as JobRegistry;
@@ -161,6 +165,44 @@
         expect(passed.map(({ results }) => results.length)).to.deep.equal([1]);
     });
 
+    // The next four guard against copies that are lost or mixed up when a conductor or a standby starts anew.
+    it("passes what it keeps to a new process of the same conductor, before that process' own copies replace it", async () => {
+        const { keep, passed } = standbyFixture();
+        await keep({ ...partFixture(), isFirst: true, fence: 5 as KeyRevision, results: [resultFixture()] });
+        await keep({ ...partFixture(), isFirst: true, fence: 9 as KeyRevision });
+        expect(passed.map(({ results }) => results.length)).to.deep.equal([1]);
+    });
+
+    it("refuses copies under an older claim, and passes nothing to their sender", async () => {
+        const { keep, passed } = standbyFixture();
+        await keep({ ...partFixture(), isFirst: true, fence: 9 as KeyRevision, results: [resultFixture()] });
+        const late = await keep({ ...partFixture(), isFirst: true, fence: 5 as KeyRevision }, conductor);
+        expect([late.isLeft(), passed.length]).to.deep.equal([true, 0]);
+    });
+
+    it("asks for everything when it has no earlier copies of its conductor, or no beginning of a text", async () => {
+        const { keep } = standbyFixture();
+        const fence = 5 as KeyRevision;
+        const part = { task, from: 2, text: textFixture(5, ["c"], 3) };
+        const needsAll = async (copy: StandbyUpdate): Promise<unknown> => (await keep(copy)).unsafeCoerce().needsAll;
+        expect(await needsAll({ ...partFixture(), fence })).to.equal(true);
+        expect(await needsAll({ ...partFixture(), fence, isFirst: true })).to.equal(false);
+        expect(await needsAll({ ...partFixture(), fence })).to.equal(false);
+        expect(await needsAll({ ...partFixture(), fence, texts: [part] })).to.equal(true);
+    });
+
+    it("sends everything again to a standby that asks for it", async () => {
+        const { task: standby, copies } = standbyFixture({
+            unlisted: [resultFixture()],
+            answer: async () => Right(Right({ needsAll: copies.length === 1 })),
+        });
+        standby.activate();
+        await passMs(1300);
+        standby.deactivate();
+        expect(copies.map(({ isFirst, results, fence }) => [isFirst, results.length, fence]))
+            .to.deep.equal([[true, 1, 5], [true, 1, 5]]);
+    });
+
     it("notifies standbys of results that need not be kept", async () => {
         const unlisted = [resultFixture()];
         const { task: standby, copies } = standbyFixture({ unlisted });
--- a/packages/rollout/src/lib/StandbyTask.ts
+++ b/packages/rollout/src/lib/StandbyTask.ts
@@ -11,8 +11,12 @@
     type Clock,
     type HostId,
     type JobScheduler,
+    type KeyRevision,
     type PeerNetwork,
+    type Problem,
+    problem,
     type ProgressSnapshot,
+    type StandbyAnswer,
     type StandbyUpdate,
     type TaskId,
     type TaskResult,
@@ -21,7 +25,7 @@
     type UnstoredWork,
     type ZoneId,
 } from "@tamarackpath/core";
-import { Right } from "purify-ts";
+import { type Either, Left, Right } from "purify-ts";
 import { type JobRegistry } from "./JobRegistry.js";
 import { type Journal } from "./Journal.js";
 
@@ -42,6 +46,8 @@
     /** Adds the copies that another host kept to this host's jobs, when it is the conductor. */
     readonly adopt: (work: UnstoredWork) => void;
     readonly isConductor: () => boolean;
+    /** Fencing token of this host's claim, or of its last one. */
+    readonly fence: () => KeyRevision | undefined;
 }
 
 /** Milliseconds between copies to a standby. */
@@ -74,8 +80,8 @@
 export class StandbyTask {
     private readonly keptTexts = new Map<TaskId, ProgressSnapshot>();
     private keptResults: UnlistedResult[] = [];
-    /** The conductor whose work this host keeps. */
-    private keptConductor: HostId | undefined;
+    /** The conductor whose work this host keeps, and the fencing token of its claim. */
+    private keptFrom: { readonly conductor: HostId; readonly fence: KeyRevision | undefined; } | undefined;
     /** The copies that each standby has. */
     private readonly sent = new Map<HostId, SentCopies>();
     /** Standbys with a copy in flight. */
@@ -90,15 +96,7 @@
         private readonly clock: Clock,
         private readonly journal: Journal,
     ) {
-        peers.handle("standby-keep", async (copy, from) => {
-            if (this.keptConductor !== undefined && this.keptConductor !== from) {
-                // A new conductor's first copy may arrive before this host is notified of the change of conductor.
-                void this.passOn(from);
-            }
-            this.keptConductor = from;
-            this.keep(copy);
-            return Right({});
-        });
+        peers.handle("standby-keep", async (copy, from) => this.keepFrom(from, copy));
         peers.handle("standby-work", async work => {
             if (options.isConductor()) {
                 options.adopt(work);
@@ -155,10 +153,32 @@
         return { results, texts };
     }
 
-    private keep({ isFirst, results, texts, settled }: StandbyUpdate): void {
+    private keepFrom(conductor: HostId, copy: StandbyUpdate): Either<Problem, StandbyAnswer> {
+        const { keptFrom } = this;
+        const { fence } = copy;
+        if (fence !== undefined && fence < (keptFrom?.fence ?? 0)) {
+            return Left(problem("conflict", "A later claim than this one is known."));
+        }
+        const isSameTerm = keptFrom?.conductor === conductor && keptFrom.fence === fence;
+        if (keptFrom !== undefined && !isSameTerm) {
+            // A new conductor's first copy may arrive before this host is notified of the change of conductor.
+            void this.passOn(conductor);
+        }
+        this.keptFrom = { conductor, fence };
+        const isWhole = this.keep(copy);
+        return Right({ needsAll: !isWhole || !copy.isFirst && !isSameTerm });
+    }
+
+    /**
+     * Applies a copy; false when parts of texts had to be dropped, since their beginning is missing and has not been evicted
+     * here.
+     */
+    private keep({ isFirst, results, texts, settled }: StandbyUpdate): boolean {
         if (isFirst) {
             this.takeKept();
         }
+        let hasGap = false;
+        const mayHaveEvicted = this.keptTexts.size >= maxKeptEntries;
         const isSettled = new Set(settled);
         settled.forEach(task => this.keptTexts.delete(task));
         this.keptResults = [...this.keptResults.filter(({ result }) => !isSettled.has(result.task)), ...results]
@@ -170,6 +190,9 @@
                 this.keptTexts.delete(task);
                 this.keptTexts.set(task, { ...text, pieces: [...start, ...text.pieces] });
             }
+            else {
+                hasGap = true;
+            }
         }
         for (const oldest of this.keptTexts.keys()) {
             if (this.keptTexts.size <= maxKeptEntries) {
@@ -177,6 +200,7 @@
             }
             this.keptTexts.delete(oldest);
         }
+        return !hasGap || mayHaveEvicted;
     }
 
     private copy(): void {
@@ -219,6 +243,7 @@
             ...[...previous?.results ?? []].map(({ task }) => task),
         ];
         return {
+            fence: this.options.fence(),
             isFirst: previous === undefined,
             results: unlisted.filter(({ result }) => previous?.results.has(result) !== true),
             texts,
@@ -231,7 +256,8 @@
         this.peers.setAddress(host, host);
         const res = await this.peers.ask(host, "standby-keep", copy, after(this.clock.now(), copyTimeoutMs));
         this.sending.delete(host);
-        if (res.isLeft()) {
+        const answer = res.toMaybe().chain(each => each.toMaybe()).extract();
+        if (answer === undefined || answer.needsAll === true) {
             this.sent.delete(host);
         }
     }
