Begin one stop for any number of stop signals

Cause: the program ended itself after each call of Program.stop, which returned at once if a stop had begun. apps/daemon forced its shutdown at any second signal by design.

Both programs now handle signals by handleStopSignals: further signals are logged, and only a second SIGINT cuts open requests. A stop waits for the end of the start.

The scenario of the impatient operator demanded that a second SIGTERM cuts, which was the fault; it interrupts the host twice now and demands the same outcome.

--- a/apps/daemon/src/lib/Daemon.ts
+++ b/apps/daemon/src/lib/Daemon.ts
@@ -147,6 +147,10 @@
         this.shutdown.forceStop();
     }
 
+    logRepeatedStop(signal: string): void {
+        this.ctx.log("shutdown").info("The host was asked to stop once more; its shutdown goes on.", { signal });
+    }
+
     /** Applies the settings that may change while the daemon runs: the log level. */
     reload(settings: Settings): void {
         this.logs.setLevel(settings.log.level);
--- a/apps/daemon/src/main.ts
+++ b/apps/daemon/src/main.ts
@@ -1,6 +1,10 @@
 #!/usr/bin/env node
-/** tamarackd: reads the settings, starts the daemon, and stops it on a signal; a second signal forces the shutdown. */
+/**
+ * tamarackd: reads the settings, starts the daemon, and stops it on a signal. Any number of signals begin one stop; only a
+ * second SIGINT, from a person at a terminal, forces it.
+ */
 
+import { handleStopSignals } from "@tamarackpath/adapters";
 import { type Finding } from "@tamarackpath/core";
 import { readFileSync } from "node:fs";
 import { type Either, Left } from "purify-ts";
@@ -30,24 +34,24 @@
 async function run(file: string, settings: Settings): Promise<void> {
     const secret = readFileSync(settings.security.secret_file, "utf8").trim();
     const daemon = new Daemon(settings, secret);
-    let signals = 0;
-    const onSignal = (): void => {
-        signals++;
-        if (signals > 1) {
-            daemon.forceStop();
-            return;
-        }
-        void daemon.stop().then(isWhole => process.exit(isWhole ? 0 : exitCodes.shutdownIncomplete));
+    const started = daemon.start();
+    /** Stops once the start has ended, so that nothing begins to listen after the stop. */
+    const stop = async (): Promise<void> => {
+        await started;
+        process.exit(await daemon.stop() ? 0 : exitCodes.shutdownIncomplete);
     };
-    process.on("SIGTERM", onSignal);
-    process.on("SIGINT", onSignal);
+    handleStopSignals({
+        stop: () => void stop(),
+        onRepeated: signal => daemon.logRepeatedStop(signal),
+        cut: () => daemon.forceStop(),
+    });
     process.on("SIGHUP", () => {
         load(file).caseOf({
             Left: findings => daemon.rejectSettings(findings),
             Right: next => daemon.reload(next),
         });
     });
-    await daemon.start();
+    await started;
 }
 
 function start(file: string): void {
@@ -71,7 +75,9 @@
 
 sade("tamarackd")
     .version("0.1.0")
-    .command("run", "Runs the daemon.", { default: true })
+    .command("run", "Runs the daemon. SIGTERM or SIGINT stops it gracefully; a second SIGINT cuts open requests.", {
+        default: true,
+    })
     .option("--config", "TOML file with the settings", defaultFile)
     .option("--print-default", "Print a settings file with every setting and stop")
     .action((options: RunOptions) => {
--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -9,5 +9,6 @@
 export * from "./lib/MonotonicClock.js";
 export * from "./lib/peerToken.js";
 export * from "./lib/readToml.js";
+export * from "./lib/stopSignals.js";
 export * from "./lib/SystemClock.js";
 export * from "./lib/WsPeerNetwork.js";
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -5,6 +5,8 @@
     "started": "The process has started.",
     "stopping": "The process stops; it takes no new connections and finishes what it has.",
     "stopped": "The process has ended.",
+    "stop-repeated": "The process was asked to stop once more; the stop that has begun goes on.",
+    "stop-cut": "A second SIGINT ended the process while its stop waited for open requests.",
     "settings-reloaded": "Changed settings are in force.",
     "settings-rejected": "Changed settings are invalid; the previous ones stay in force.",
     "lines-dropped": "Standard output was not read in time, and lines were dropped.",
--- a/packages/standins/src/lib/fleet/DaemonProcess.ts
+++ b/packages/standins/src/lib/fleet/DaemonProcess.ts
@@ -129,10 +129,21 @@
 
     /** Requests a graceful shutdown (SIGTERM) and returns the exit code. */
     async terminate(): Promise<number | undefined> {
-        this.child?.kill("SIGTERM");
+        this.signal("SIGTERM");
         return await this.exitCode;
     }
 
+    /** Requests a shutdown as a person at a terminal does (SIGINT) and returns the exit code. */
+    async interrupt(): Promise<number | undefined> {
+        this.signal("SIGINT");
+        return await this.exitCode;
+    }
+
+    /** Sends a signal to the process without waiting for its effect. */
+    signal(name: "SIGTERM" | "SIGINT" | "SIGHUP"): void {
+        this.child?.kill(name);
+    }
+
     /** Shuts the process down gracefully, starts it again and waits until it is ready. Returns the exit code. */
     async restart(readyTimeoutMs: number): Promise<number | undefined> {
         const code = await this.terminate();
