--- a/packages/rollout/src/lib/JobRunner.test.ts
+++ b/packages/rollout/src/lib/JobRunner.test.ts
@@ -1,14 +1,51 @@
 /** Tests of how a conductor starts the runs of tasks. */
 
 import { expect } from "chai";
-import { jobRunnerFixture } from "./jobRunnerFixtures.test.js";
+import { type EngineRun, jobRunnerFixture } from "./jobRunnerFixtures.test.js";
 import { createSteppingClock, type SteppingClock } from "./steppingClock.test.js";
 
+/** Advances the time until an engine has got `count` runs. */
+async function untilRuns(clock: SteppingClock, runs: readonly EngineRun[], count: number): Promise<void> {
+    for (let nth = 0; nth < 40 && runs.length < count; nth++) {
+        await clock.advance(20);
+    }
+    expect(runs.length).to.equal(count);
+}
+
 async function settled(): Promise<void> {
     await new Promise(resolve => setImmediate(resolve));
 }
 
 describe("JobRunner", () => {
+    // Guards against a text without its beginning, from an answer to an earlier run of the same task.
+    it("takes only the event that comes next, logs any other one, and runs the task anew", async () => {
+        const clock = createSteppingClock(0.01);
+        const { runner, runs, results, rejected, scheduler } = jobRunnerFixture(clock, ["a", "b"], 1);
+        runner.activate();
+        expect(runs[0]!.sendEvent(5)).to.equal(false);
+        runs[0]!.end({ kind: "fault", detail: "rejected" });
+        await untilRuns(clock, runs, 2);
+        expect(runs[1]!.afterEvent).to.equal(undefined);
+        runs[1]!.send(2);
+        expect(scheduler.texts[0]!.progress.eventCount).to.equal(2);
+        expect(runs[1]!.sendEvent(2)).to.equal(false);
+        runs[1]!.end({ kind: "fault", detail: "rejected" });
+        await untilRuns(clock, runs, 3);
+        expect(rejected).to.deep.equal([[1, 5], [3, 2]]);
+        expect(results).to.deep.equal([]);
+        runner.deactivate();
+    });
+
+    it("does not take a run from the start without events for a whole text", async () => {
+        const clock = createSteppingClock(0.01);
+        const { runner, runs, results } = jobRunnerFixture(clock, ["a", "b"], 1);
+        runner.activate();
+        runs[0]!.end({ kind: "completed" });
+        await untilRuns(clock, runs, 2);
+        expect(results).to.deep.equal([]);
+        runner.deactivate();
+    });
+
     it("starts a delayed task although its delay ends while the delay is checked", async () => {
         const stepMs = 0.25;
         for (let earlyMs = 0; earlyMs <= 4; earlyMs += stepMs) {
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -285,7 +285,7 @@
             ...this.permits.describe(entry),
         });
         let isTooOld = false;
-        const end = await this.engines.run(
+        const reported = await this.engines.run(
             entry,
             {
                 task: run.task,
@@ -295,6 +295,16 @@
                 permit: this.permits.take(entry, tasksFlow),
             },
             (event, version) => {
+                if (event.id !== run.progress.nextEventId) {
+                    this.journal.log("event-rejected", {
+                        job: job.id,
+                        task: run.task.id,
+                        target,
+                        expected: run.progress.nextEventId,
+                        received: event.id,
+                    });
+                    return false;
+                }
                 this.recordEvent(running);
                 if (!run.progress.versions.includes(version)) {
                     this.versions.recordServedVersion(entry, job.model, version);
@@ -306,6 +316,9 @@
             },
             stop.signal,
         );
+        const end: TaskRunOutcome = reported.kind === "completed" && run.progress.eventCount === 0
+            ? { kind: "fault", detail: "The engine's answer has no events." }
+            : reported;
         this.runningCounts.set(target, this.runningAt(target) - 1);
         this.runs.delete(run);
         this.journal.log("task-ended", {
--- a/packages/rollout/src/lib/jobRunnerFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRunnerFixtures.test.ts
@@ -27,7 +27,7 @@
 import { HostView } from "./HostView.js";
 import { type JobRegistry, type JobRegistryEvents } from "./JobRegistry.js";
 import { JobRunner } from "./JobRunner.js";
-import { noopJournal } from "./Journal.js";
+import { type Journal, noopJournal } from "./Journal.js";
 import { permitsFixture } from "./permitsFixtures.test.js";
 import { type RequestPermits } from "./RequestPermits.js";
 import { type RewardRunner } from "./RewardRunner.js";
@@ -44,6 +44,8 @@
     readonly afterEvent: number | undefined;
     /** Sends `count` events that follow those that the request names; each names the engine's software. */
     readonly send: (count: number) => void;
+    /** Sends an event with this id; false when the run does not take it. */
+    readonly sendEvent: (id: number) => boolean;
     readonly end: (outcome: TaskRunOutcome) => void;
 }
 
@@ -54,6 +56,8 @@
     readonly view: HostView;
     readonly runs: EngineRun[];
     readonly results: TaskResult[];
+    /** The rejected events: what was expected, and what came. */
+    readonly rejected: (readonly [unknown, unknown])[];
     readonly entries: readonly TargetEntryView[];
 }
 
@@ -117,6 +121,14 @@
 ): JobRunnerFixture {
     const entries = engineEntries.map(entry => typeof entry === "string" ? engineEntryFixture(entry) : entry);
     const results: TaskResult[] = [];
+    const rejected: [unknown, unknown][] = [];
+    const journal: Journal = {
+        log: (event, fields) => {
+            if (event === "event-rejected") {
+                rejected.push([fields?.["expected"], fields?.["received"]]);
+            }
+        },
+    };
     const view = new HostView(clock, noopJournal);
     const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
     const service = {
@@ -142,7 +154,8 @@
                         onEvent({ id: ++last, data: String(entry.software) }, 1 as WeightVersion);
                     }
                 };
-                runs.push({ target: entry.target, entry, task: task.id, afterEvent, send, end });
+                const sendEvent = (id: number): boolean => onEvent({ id, data: "text" }, 1 as WeightVersion);
+                runs.push({ target: entry.target, entry, task: task.id, afterEvent, send, sendEvent, end });
             }),
     } satisfies Partial<RolloutEngines> as unknown as RolloutEngines;
     const versions = {
@@ -172,8 +185,8 @@
         permits,
         engines,
         clock,
-        noopJournal,
+        journal,
     );
     scheduler.add(engineJobFixture("j", tasks), engineTermsFixture, new JobLog());
-    return { runner, permits, scheduler, view, runs, results, entries };
+    return { runner, permits, scheduler, view, runs, results, rejected, entries };
 }
