Move the answers to pulls and the claim's record into files of their own

PullResponder.ts answers the hosts that pull the view, claimRecord.ts holds the claim's record and what it tells of orders.

--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -19,22 +19,11 @@
     type TransactionalStore,
 } from "@tamarackpath/core";
 import Emittery from "emittery";
-import { pack, unpack } from "msgpackr";
+import { pack } from "msgpackr";
+import { type ClaimRecord, decodeClaim, orderDelayAfter } from "./claimRecord.js";
 import { type Journal } from "./Journal.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
 
-/** The value of the claim's key. */
-interface ClaimRecord {
-    readonly host: HostId;
-    /**
-     * Unix milliseconds from which the holder may send orders, since an earlier holder may have sent some shortly before the
-     * claim. Claims of earlier software have none.
-     */
-    readonly ordersNotBefore?: number;
-    /** Set when the holder resigned. `lastOrderAt`, in Unix milliseconds, is when it or a holder before it last sent an order. */
-    readonly resigned?: { readonly lastOrderAt: number | undefined; };
-}
-
 /** Events of the claim; `conductor` carries the new conductor, or undefined when none is known. */
 export interface ConductorEvents {
     readonly claimed: undefined;
@@ -86,7 +75,7 @@
     private predecessor: HostId | undefined;
     /** When the store last answered a lookup of the claim. */
     private lastStoreAnswerAt = -Infinity as Instant;
-    /** The highest fencing token of a claim that this host has held or heard of. */
+    /** The highest fencing token of a claim that this host has held or seen. */
     private latestFence = 0 as KeyRevision;
     private isRenewing = false;
     private openRenewals = 0;
@@ -205,7 +194,7 @@
 
     /**
      * Ends this host's term, and with it its work, when `successor` holds the claim under the later fencing token `fence`.
-     * False when this host has held or heard of a later claim: the sender's has lapsed, as when its process was paused.
+     * False when this host has held or seen a later claim: the sender's has lapsed, as when its process was paused.
      */
     yieldTo(successor: HostId, fence: KeyRevision): boolean {
         if (this.isOutdated(fence) || fence === this.term.currentClaim?.fence) {
@@ -288,7 +277,7 @@
         if (lease === undefined || !this.options.canClaim() || this.clock.now() >= lease.deadline) {
             return;
         }
-        const orderDelayMs = this.orderDelayMs(record);
+        const orderDelayMs = orderDelayAfter(record, this.options.self, this.options.settings.orderCalmMs);
         const claimed: ClaimRecord = { host: this.options.self, ordersNotBefore: Date.now() + orderDelayMs };
         const res = await this.store.commit(
             {
@@ -316,19 +305,6 @@
         });
     }
 
-    /** Milliseconds for which a claim that replaces `previous` gives no right to send orders. */
-    private orderDelayMs(previous: ClaimRecord | undefined): number {
-        const { orderCalmMs } = this.options.settings;
-        const now = Date.now();
-        const allowedAt = previous?.resigned !== undefined
-            ? (previous.resigned.lastOrderAt ?? -Infinity) + orderCalmMs
-            : previous?.host === this.options.self
-            ? previous.ordersNotBefore ?? now
-            : now + orderCalmMs;
-        // The clocks of hosts differ.
-        return Math.min(orderCalmMs, Math.max(0, allowedAt - now));
-    }
-
     private async beginTerm(
         claim: ConductorClaim,
         deadline: Instant,
@@ -448,7 +424,3 @@
         return sleepUntil(this.clock, after(this.clock.now(), ms));
     }
 }
-
-function decodeClaim(item: StoredItem): ClaimRecord {
-    return unpack(item.value) as ClaimRecord;
-}
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -6,23 +6,22 @@
 import {
     after,
     type Clock,
-    type ConductorView,
     type HostId,
     type Instant,
     type KeyRevision,
     type PeerNetwork,
     type PeerRequests,
     type PlatformDocuments,
-    type Problem,
     type RelayHost,
     sleepUntil,
     type ZoneId,
 } from "@tamarackpath/core";
-import { type Either, Right } from "purify-ts";
+import { Right } from "purify-ts";
 import { type ConductorTask } from "./ConductorTask.js";
 import { type CrashGuard } from "./CrashGuard.js";
 import { type HostView } from "./HostView.js";
 import { type Journal } from "./Journal.js";
+import { PullResponder, pullWaitMs } from "./PullResponder.js";
 import { repeatUntil } from "./repeatUntil.js";
 import { type RequestPermits } from "./RequestPermits.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
@@ -42,12 +41,6 @@
     readonly onRelays: (relays: readonly RelayHost[]) => void;
 }
 
-/** Milliseconds after its last pull for which a host counts as a follower. */
-const followerTtlMs = 3000;
-
-/** Milliseconds that a pull waits at the conductor for a change. */
-const pullWaitMs = 800;
-
 /** Milliseconds within which a host must answer a request, in addition to the wait that the request allows. */
 const answerMarginMs = 600;
 
@@ -78,12 +71,6 @@
 /** Another host's answer about the conductor. */
 type ConductorReport = PeerRequests["conductor-ask"]["answer"];
 
-interface RecentFollower extends Follower {
-    readonly at: Instant;
-    /** Number of the view whose content the last answer to this host had; undefined if it had none. */
-    readonly sentView: number | undefined;
-}
-
 /** A view that this host pulled. Its revisions count the changes in one process of the conductor. */
 interface PulledView {
     readonly host: HostId;
@@ -95,9 +82,6 @@
     readonly crashes: number;
 }
 
-/** The revisions that a host that pulls has; -1 if all is to be sent, and undefined for what it does not pull. */
-type HeldRevisions = Pick<PeerRequests["view-pull"]["ask"], "have" | "haveLimits" | "haveCrashes">;
-
 /** Runs the loops of a host's view. */
 export class ViewTask {
     private stopped = false;
@@ -105,7 +89,7 @@
     private hasConductorAnswered = false;
     /** Number of consecutive pulls without an answer. */
     private missedPulls = 0;
-    private readonly followersByHost = new Map<HostId, RecentFollower>();
+    private readonly pulls: PullResponder;
     /** The view that was last pulled; undefined once this host has read the documents itself. */
     private lastPulledView: PulledView | undefined;
 
@@ -120,7 +104,8 @@
         private readonly clock: Clock,
         private readonly journal: Journal,
     ) {
-        peers.handle("view-pull", (ask, from) => this.answerPull(ask, from));
+        this.pulls = new PullResponder(options.relaysFor, view, conductor, permits, crashes, clock);
+        peers.handle("view-pull", (ask, from) => this.pulls.answer(ask, from));
         peers.handle("conductor-ask", async () => {
             const { zone } = options;
             const isKnown = conductor.isConductor || this.hasConductorAnswered;
@@ -132,12 +117,6 @@
         });
     }
 
-    /** Hosts that pulled this host's view within `followerTtlMs`. */
-    get followers(): readonly Follower[] {
-        const now = this.clock.now();
-        return [...this.followersByHost.values()].filter(({ at }) => now - at < followerTtlMs);
-    }
-
     /**
      * True while neither the conductor nor a seed outside this host's zone answers. If the store cannot be reached
      * either, hosts of other zones serve callers better.
@@ -146,6 +125,11 @@
         return this.noAnswerSince !== undefined && this.clock.now() - this.noAnswerSince > cutOffDelayMs;
     }
 
+    /** Hosts that pulled this host's view recently. */
+    get followers(): readonly Follower[] {
+        return this.pulls.followers;
+    }
+
     start(): void {
         const { clock, journal } = this;
         const isStopped = (): boolean => this.stopped;
@@ -310,64 +294,10 @@
         return true;
     }
 
-    private async answerPull(
-        ask: PeerRequests["view-pull"]["ask"],
-        from: HostId,
-    ): Promise<Either<Problem, ConductorView>> {
-        const { view, permits, crashes, conductor, options } = this;
-        const { zone, hasCallers } = ask;
-        const follower = { host: from, zone, hasCallers, reachesTargets: ask.reachesTargets === true };
-        const { have, haveLimits, haveCrashes } = this.heldRevisions(ask, this.followersByHost.get(from));
-        this.followersByHost.set(from, { ...follower, at: this.clock.now(), sentView: undefined });
-        await this.waitForChange({ have, haveLimits, haveCrashes });
-        const { revision, ageMs, operator } = view;
-        const content = revision === have ? undefined : { operator, targets: view.directory.targets };
-        this.followersByHost.set(from, {
-            ...follower,
-            at: this.clock.now(),
-            sentView: content === undefined ? undefined : revision,
-        });
-        return Right({
-            fence: conductor.term.currentClaim?.fence,
-            number: revision,
-            ageMs: conductor.isSure ? ageMs : undefined,
-            readAgeMs: view.readAgeMs,
-            content,
-            limits: haveLimits === undefined
-                ? undefined
-                : { number: permits.revision, reports: permits.changesSince(haveLimits) },
-            crashes: haveCrashes === undefined
-                ? undefined
-                : { number: crashes.revision, reports: crashes.changesSince(haveCrashes) },
-            hosts: this.followers.length + 1,
-            relays: options.relaysFor(from, zone),
-        });
-    }
-
-    /**
-     * The revisions that a host has of this process. Another process under the same address may have counted to the same
-     * numbers. A host of earlier software does not tell which process it means, and is believed only if the last answer had
-     * the content of that revision; as that answer may have been lost, the next one has it again.
-     */
-    private heldRevisions(
-        { have, haveLimits, haveCrashes, haveFence }: PeerRequests["view-pull"]["ask"],
-        known: RecentFollower | undefined,
-    ): HeldRevisions {
-        const isOfThisProcess = haveFence === undefined
-            ? known?.sentView === have
-            : haveFence === this.conductor.term.currentClaim?.fence;
-        return isOfThisProcess ? { have, haveLimits, haveCrashes } : {
-            have: -1,
-            haveLimits: haveLimits === undefined ? undefined : -1,
-            haveCrashes: haveCrashes === undefined ? undefined : -1,
-        };
-    }
-
     /** Asks recent followers and the seeds for another conductor, in which case this host's claim has lapsed. */
     private async checkForSuccessor(): Promise<void> {
-        const recentFollowers = [...this.followersByHost.values()].sort((a, b) => b.at - a.at).map(({ host }) => host);
         const answers = await this.requestConductors([
-            ...recentFollowers.slice(0, maxAskedFollowers),
+            ...this.pulls.latestFollowers.slice(0, maxAskedFollowers),
             ...this.options.seeds,
         ]);
         const successor = latestClaim(answers);
@@ -392,30 +322,6 @@
         this.conductor.adoptReportedConductor(latest?.conductor, latest?.fence);
         return answers.some(({ zone }) => zone !== this.options.zone);
     }
-
-    /** Resolves when this host has something newer than the revisions that another host has, or after `pullWaitMs`. */
-    private waitForChange({ have, haveLimits, haveCrashes }: HeldRevisions): Promise<void> {
-        const { view, permits, crashes } = this;
-        if (
-            view.revision !== have || (haveLimits ?? permits.revision) !== permits.revision
-            || (haveCrashes ?? crashes.revision) !== crashes.revision
-        ) {
-            return Promise.resolve();
-        }
-        return new Promise(resolve => {
-            const off = this.view.events.on("changed", () => finish());
-            const offLimits = this.permits.onChange(() => finish());
-            const offCrashes = this.crashes.onChange(() => finish());
-            const cancel = this.clock.callAt(after(this.clock.now(), pullWaitMs), () => finish());
-            const finish = (): void => {
-                off();
-                offLimits();
-                offCrashes();
-                cancel();
-                resolve();
-            };
-        });
-    }
 }
 
 /** The report that names a conductor under the latest claim; reports of earlier software name no claim and come last. */
