--- a/packages/rollout/src/lib/viewRevisions.test.ts
+++ b/packages/rollout/src/lib/viewRevisions.test.ts
@@ -182,7 +182,7 @@
         expect(pulls).to.be.at.most(2 * Math.ceil(catchUpMs / pullWaitMs) + 1);
     });
 
-    it("of a host of the build before are not believed until they come from this process", async () => {
+    it("of a host of the build before count only if they come from this process", async () => {
         const { handlePull } = conductorFixture(9, 2);
         const first = (await handlePull(pullOfEarlierBuild(2, 1, 0), followerId)).unsafeCoerce();
         expect(first.content?.operator.config?.revision).to.equal(2);
