--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -203,7 +203,7 @@
                 fence: this.term.currentClaim?.fence,
                 latestFence: this.latestFence,
                 otherFence: fence,
-                leaseLeftMs: this.leaseLeftMs,
+                leaseLeftMs: this.isConductor ? this.leaseLeftMs : undefined,
             });
             return false;
         }
