--- a/packages/core/src/lib/directory/TargetDirectory.ts
+++ b/packages/core/src/lib/directory/TargetDirectory.ts
@@ -30,6 +30,8 @@
     readonly software?: SoftwareVersion | undefined;
     /** Number of times that this incarnation has written its entry; undefined when the entry does not count them. */
     readonly heartbeats?: number | undefined;
+    /** Whether the platform may take it away at short notice, with all others like it in its zone. */
+    readonly isReclaimable?: boolean;
 }
 
 /** Milliseconds that targets have after an outage to write their entries again, as specified by the platform. */
--- a/packages/core/src/lib/ids.ts
+++ b/packages/core/src/lib/ids.ts
@@ -20,6 +20,12 @@
 /** Identifies a caller, such as a trainer or the client of a group of people. */
 export type CallerId = Brand<string, "CallerId">;
 
+/** Identifies an organisation, a customer whose callers carry its credentials. */
+export type OrganisationId = Brand<string, "OrganisationId">;
+
+/** SHA-256 of a credential, in hexadecimal; the credential itself is not kept. */
+export type CredentialDigest = Brand<string, "CredentialDigest">;
+
 /** Identifies a target: a model engine, a plain service or a scorer. */
 export type TargetId = Brand<string, "TargetId">;
 
--- a/packages/core/src/lib/jobs/Job.ts
+++ b/packages/core/src/lib/jobs/Job.ts
@@ -1,6 +1,14 @@
 /** Jobs as trainers submit them, their results as callers list them, and the keys that they are stored under. */
 
-import { type GroupId, type Instant, type JobId, type RewardCallId, type TaskId, type WeightVersion } from "../ids.js";
+import {
+    type GroupId,
+    type Instant,
+    type JobId,
+    type OrganisationId,
+    type RewardCallId,
+    type TaskId,
+    type WeightVersion,
+} from "../ids.js";
 
 /** A request to a scoring service, sent once the text of its task is complete. It may be repeated. */
 export interface RewardCall {
@@ -33,6 +41,8 @@
     /** Virtual host that selects the job's route, together with `path`. */
     readonly host: string;
     readonly path: string;
+    /** The organisation that submitted it; undefined if the configuration then named none, or in earlier records. */
+    readonly organisation?: OrganisationId | undefined;
     readonly submittedAt: Instant;
     readonly step: number | undefined;
     readonly model: string;
--- a/packages/core/src/lib/ports/RolloutTargets.ts
+++ b/packages/core/src/lib/ports/RolloutTargets.ts
@@ -7,7 +7,7 @@
 import { type RouteConfig } from "../calls/RouteTable.js";
 import { type VersionOrder, type VersionOrderEnd } from "../conduct/VersionPlan.js";
 import { type TargetEntryView } from "../directory/TargetDirectory.js";
-import { type Incarnation, type Instant, type WeightVersion } from "../ids.js";
+import { type Incarnation, type Instant, type OrganisationId, type WeightVersion } from "../ids.js";
 import { type Task } from "../jobs/Job.js";
 import { type StreamEvent } from "../jobs/TaskProgress.js";
 import { type TargetResponse } from "../limits/RateLimitTable.js";
@@ -19,6 +19,8 @@
     readonly task: Task;
     /** Virtual host of the job's route. */
     readonly host: string;
+    /** The organisation that submitted the job, which the engine is told. */
+    readonly organisation?: OrganisationId | undefined;
     /** Number of the last event received in earlier runs; the engine resumes after it. */
     readonly afterEvent: number | undefined;
     /** Maximum number of connections from this host to the engine. */
@@ -85,6 +87,8 @@
     /** Alternating names and values, without hop-by-hop headers. */
     readonly headers: readonly string[];
     readonly body: Uint8Array;
+    /** The caller's organisation, which the target is told; undefined if the request needs no credential. */
+    readonly organisation?: OrganisationId | undefined;
     /** Set if the caller takes up a stream that broke off. */
     readonly takeUp?: StreamTakeUp | undefined;
 }
--- a/packages/rollout/src/lib/HostView.ts
+++ b/packages/rollout/src/lib/HostView.ts
@@ -36,6 +36,7 @@
     private retiringHosts: readonly string[] = [];
     private number = 0;
     private readStartedAt: Instant | undefined;
+    private configProof: Instant | undefined;
 
     constructor(private readonly clock: Clock, private readonly journal: Journal) {}
 
@@ -58,6 +59,19 @@
         return readAt === undefined ? undefined : this.clock.now() - readAt;
     }
 
+    /**
+     * A time at which the configuration in force here was still the newest one in the store, by this host's clock; undefined
+     * before the first proof.
+     */
+    get configProvenAt(): Instant | undefined {
+        return this.configProof;
+    }
+
+    /** Records that the configuration in force here was still the newest one at `provenAt`. */
+    recordConfigProof(provenAt: Instant): void {
+        this.configProof = Math.max(provenAt, this.configProof ?? provenAt) as Instant;
+    }
+
     /** The operators' documents, as they are sent to other hosts. */
     get operator(): OperatorView {
         const versions = [...this.versions].map(([model, version]) => ({ model, version }));
