Start no task while ends of its job in the store may be unknown

Cause: hosts that are cut off from the conductor end jobs in the store, and the conductor learns of that from a watch that waited 4 s, with 1 s more until a silent connection counts as lost, so an end could stay unknown for 5 s; while the process was late by itself, longer. Change: the watch waits 1 s; the conductor records from when it knows all ends, and holds starts back once that is 2.4 s ago, unless the store answers nobody here. Checks of runs that come late (new event process-late) move no run, since its events are only unread.

--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -29,6 +29,8 @@
     /** Runs that are to be stopped, because their job has ended or their result is known. */
     readonly stopped: readonly TaskRun[];
     readonly listed: JobId;
+    /** Ends of jobs are known here again after a time in which they were not. */
+    readonly endsKnown: undefined;
 }
 
 /** Options of a job registry. */
@@ -66,6 +68,8 @@
     /** Stored jobs that match no known route yet. */
     private readonly unroutable = new Map<JobId, Job>();
     private isActive = false;
+    /** A time until which all ends of jobs in the store are known here; undefined before the first read. */
+    private endsKnownUntil: Instant | undefined;
 
     constructor(
         private readonly options: JobRegistryOptions,
@@ -176,6 +180,29 @@
         }
     }
 
+    /** Records that every end of a job that the store held at `at` has been applied here. */
+    recordEndsKnown(at: Instant): void {
+        const isFirst = !this.areEndsKnown(this.clock.now());
+        this.endsKnownUntil = at;
+        if (isFirst) {
+            void this.events.emit("endsKnown");
+        }
+    }
+
+    /**
+     * Whether the ends of jobs that the store held `maxUnknownEndMs` before `now` are known here, so that no task of a job
+     * that ended before then is started.
+     */
+    areEndsKnown(now: Instant): boolean {
+        return this.endsKnownUntil !== undefined
+            && now - this.endsKnownUntil <= this.options.settings.maxUnknownEndMs;
+    }
+
+    /** Whether the store answered the last call; other hosts cannot end jobs in a store that does not answer. */
+    get isStoreReachable(): boolean {
+        return this.jobs.isReachable;
+    }
+
     hasEnded(job: JobId): boolean {
         return this.ended.has(job) || this.endedUnopened.has(job);
     }
--- a/packages/rollout/src/lib/JobRunner.test.ts
+++ b/packages/rollout/src/lib/JobRunner.test.ts
@@ -63,4 +63,34 @@
             runner.deactivate();
         }
     });
+
+    // Guards against a task that runs although its job ended in the store some seconds before.
+    it("starts no task while ends of jobs in the store may be unknown, and goes on once they are known", async () => {
+        const clock = createSteppingClock(0.01);
+        const { runner, runs, setEndsKnown } = jobRunnerFixture(clock, ["a", "b"], 2);
+        setEndsKnown(false);
+        runner.activate();
+        await clock.advance(500);
+        expect(runs.length).to.equal(0);
+        setEndsKnown(true);
+        await untilRuns(clock, runs, 2);
+        runner.deactivate();
+    });
+
+    // Guards against moves of all runs by a process that was late itself and had not read their events yet.
+    it("moves no run as silent when its own checks were late", async () => {
+        const clock = createSteppingClock(0.01);
+        const { runner, runs } = jobRunnerFixture(clock, ["a", "b"], 1);
+        runner.activate();
+        runs[0]!.send(1);
+        clock.pass(1400);
+        clock.runNextTimer(-1400);
+        clock.runNextTimer(-1400);
+        clock.runNextTimer(-1400);
+        await settled();
+        runs[0]!.send(1);
+        await clock.advance(300);
+        expect(runs.length).to.equal(1);
+        runner.deactivate();
+    });
 });
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -66,6 +66,12 @@
 /** Milliseconds between checks for runs that should move to another engine. */
 const moveIntervalMs = 150;
 
+/** Milliseconds by which a check may be late before this process, and not the engines, counts as the cause of silent runs. */
+const maxCheckDelayMs = 200;
+
+/** Milliseconds after a late check for which this process counts as late. */
+const lateTtlMs = 2000;
+
 /** Name of the runs of tasks among the requests to engines with a rate limit. */
 const tasksFlow = "tasks";
 
@@ -97,6 +103,9 @@
     private cancelExpiry: (() => void) | undefined;
     private cancelMoves: (() => void) | undefined;
     private isActive = false;
+    /** Until when this process counts as late, because it had more to do than its processor allows or was paused. */
+    private lateUntil = 0 as Instant;
+    private wasHeld = false;
 
     constructor(
         private readonly settings: RolloutSettings,
@@ -119,6 +128,7 @@
         view.events.on("changed", () => this.dispatch());
         view.events.on("restarted", entries => entries.forEach(entry => this.discardContradicted(entry)));
         versions.events.on("changed", () => this.dispatch());
+        registry.events.on("endsKnown", () => this.dispatch());
     }
 
     /** Number of tasks that run at an engine. */
@@ -139,7 +149,7 @@
         if (!this.isActive) {
             this.isActive = true;
             this.expire();
-            this.moveRuns();
+            this.moveRuns(this.clock.now());
         }
         this.dispatch();
     }
@@ -192,6 +202,9 @@
             return;
         }
         const now = this.clock.now();
+        if (this.isHeld(now)) {
+            return;
+        }
         for (;;) {
             const next = this.hasWaiting
                 ? this.scheduler.next(this.engineCapacities(), now, service => this.listedSoftware(service))
@@ -204,6 +217,36 @@
         this.scheduleDispatch(now);
     }
 
+    /**
+     * Whether tasks may start: their jobs may have ended in the store without this host's knowledge. While the store does
+     * not answer, no job can end there, unless the calls to it fail because this process is late itself.
+     */
+    private mayStart(now: Instant): boolean {
+        return this.registry.areEndsKnown(now) || !this.registry.isStoreReachable && now >= this.lateUntil;
+    }
+
+    /** Whether the starts of tasks are held back at `now`; logs when that begins and ends. */
+    private isHeld(now: Instant): boolean {
+        const isHeld = !this.mayStart(now);
+        if (isHeld !== this.wasHeld) {
+            this.wasHeld = isHeld;
+            this.journal.log("starts-held", { held: isHeld, storeReachable: this.registry.isStoreReachable });
+        }
+        return isHeld;
+    }
+
+    /** Records how late a check at `now` is that was due at `dueAt`; true when this process counts as late. */
+    private recordCheckDelay(dueAt: Instant, now: Instant): boolean {
+        if (now - dueAt > maxCheckDelayMs) {
+            if (now >= this.lateUntil) {
+                this.journal.log("process-late", { ms: now - dueAt, running: this.runs.size });
+            }
+            this.lateUntil = after(now, lateTtlMs);
+            return true;
+        }
+        return false;
+    }
+
     private engineCapacities(): readonly EngineCapacity[] {
         const now = this.clock.now();
         return this.view.directory.targets.flatMap(entry => {
@@ -360,13 +403,21 @@
     }
 
     /** Stops runs that send no events, or that are much slower than engines with free slots, to resume them there. */
-    private moveRuns(): void {
+    private moveRuns(dueAt: Instant): void {
         if (!this.isActive) {
             return;
         }
         const now = this.clock.now();
+        const nextAt = after(now, moveIntervalMs);
         // The next check is scheduled first, so that an unexpected error in this one does not end them.
-        this.cancelMoves = this.clock.callAt(after(now, moveIntervalMs), () => this.moveRuns());
+        this.cancelMoves = this.clock.callAt(nextAt, () => this.moveRuns(nextAt));
+        if (this.recordCheckDelay(dueAt, now)) {
+            // Events that arrived meanwhile have not been read, so no run can be told to be silent or slow.
+            return;
+        }
+        if (this.wasHeld) {
+            this.dispatch();
+        }
         const engines = this.engineCapacities();
         const available = engines.map(({ target, slots, running, speed, software }) => ({
             target,
--- a/packages/rollout/src/lib/JobStore.ts
+++ b/packages/rollout/src/lib/JobStore.ts
@@ -58,6 +58,10 @@
 export class JobStore {
     constructor(private readonly store: TransactionalStore, private readonly clock: Clock) {}
 
+    get isReachable(): boolean {
+        return this.store.isReachable;
+    }
+
     /** Stores a job, retrying until `deadline` or until `shouldGiveUp` returns true. */
     async keep(job: Job, deadline: Instant, shouldGiveUp: () => boolean): Promise<StoreOutcome> {
         const puts = documentsOf(job);
--- a/packages/rollout/src/lib/LiveKeyWatch.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.ts
@@ -20,8 +20,11 @@
 import { type Journal } from "./Journal.js";
 import { repeatUntil } from "./repeatUntil.js";
 
-/** Milliseconds that one call of the watch waits for changes. */
-const waitMs = 4000;
+/**
+ * Milliseconds that one call of the watch waits for changes. A connection without answers is only noticed after this time,
+ * and until then ends of jobs that other hosts wrote to the store are unknown here.
+ */
+const waitMs = 1000;
 
 /** Milliseconds after a failure before the range is read again. */
 const rereadDelayMs = 200;
@@ -64,6 +67,7 @@
     }
 
     private async readAll(generation: number): Promise<KeyRevision | undefined> {
+        const startedAt = this.clock.now();
         const range = (await this.store.range(jobKeys.live, "jobs")).toMaybe().extract();
         if (range === undefined || generation !== this.generation) {
             return undefined;
@@ -76,6 +80,7 @@
         const open = range.items.filter(({ key }) => key.startsWith(jobKeys.openPrefix));
         const ended = range.items.filter(({ key }) => key.startsWith(jobKeys.endedPrefix));
         ended.forEach(({ key }) => this.registry.close(jobOf(key, jobKeys.endedPrefix)));
+        this.registry.recordEndsKnown(startedAt);
         await Promise.all(open.map(item => this.openStored(item)));
         void this.registry.removeEndedFromStore(
             ended.map(item => ({
@@ -87,6 +92,7 @@
     }
 
     private async followChanges(asOf: KeyRevision, generation: number): Promise<KeyRevision | undefined> {
+        const startedAt = this.clock.now();
         const seen = (await this.store.changes(jobKeys.live, asOf, waitMs, "jobs")).toMaybe().extract();
         if (seen === undefined || seen.kind === "compacted" || generation !== this.generation) {
             return undefined;
@@ -98,7 +104,10 @@
             else if (key.startsWith(jobKeys.endedPrefix) && item !== undefined) {
                 this.registry.close(jobOf(key, jobKeys.endedPrefix));
             }
-            else if (key.startsWith(jobKeys.openPrefix) && item !== undefined) {
+        }
+        this.registry.recordEndsKnown(startedAt);
+        for (const { key, item } of seen.changes) {
+            if (key.startsWith(jobKeys.openPrefix) && item !== undefined) {
                 await this.openStored(item);
             }
         }
--- a/packages/rollout/src/lib/MemoryStore.test.ts
+++ b/packages/rollout/src/lib/MemoryStore.test.ts
@@ -49,7 +49,10 @@
         return Right({ items: items.sort((a, b) => a.key < b.key ? -1 : 1), asOf: this.revision as KeyRevision });
     }
 
-    async changes(): Promise<Either<KeyValueFailure, StoredChanges>> {
+    async changes(
+        ...unused: Parameters<TransactionalStore["changes"]>
+    ): Promise<Either<KeyValueFailure, StoredChanges>> {
+        void unused;
         return Right({ kind: "changes", changes: [], asOf: this.revision as KeyRevision });
     }
 
--- a/packages/rollout/src/lib/RolloutSettings.ts
+++ b/packages/rollout/src/lib/RolloutSettings.ts
@@ -36,6 +36,11 @@
     readonly changeMs: number;
     /** Share of a route's target latency after which an idempotent call is hedged at a second target. */
     readonly hedgeShare: number;
+    /**
+     * Time for which an end of a job that another host wrote to the store may be unknown to the conductor; no task starts
+     * after that.
+     */
+    readonly maxUnknownEndMs: number;
     /** Time for which an ended job's results stay readable. */
     readonly keepResultsMs: number;
 }
@@ -54,5 +59,6 @@
     changingShare: 0.25,
     changeMs: 1050,
     hedgeShare: 0.45,
+    maxUnknownEndMs: 2400,
     keepResultsMs: 120_000,
 };
--- a/packages/rollout/src/lib/jobRunnerFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRunnerFixtures.test.ts
@@ -59,6 +59,8 @@
     /** The rejected events: what was expected, and what came. */
     readonly rejected: (readonly [unknown, unknown])[];
     readonly entries: readonly TargetEntryView[];
+    /** Sets whether ends of jobs in the store are known at this host. */
+    readonly setEndsKnown: (areKnown: boolean) => void;
 }
 
 export function engineEntryFixture(
@@ -166,10 +168,13 @@
         recordServedVersion: () => undefined,
         recordStillChanging: () => undefined,
     } as unknown as VersionTask;
+    const state = { areEndsKnown: true };
     const registry = {
         events: new Emittery<JobRegistryEvents>(),
         addResult: (unused: unknown, result: TaskResult) => results.push(result),
         dropEndedFromMemory: () => undefined,
+        areEndsKnown: () => state.areEndsKnown,
+        isStoreReachable: true,
     } as unknown as JobRegistry;
     let lastTextId = 0;
     const scheduler = new JobScheduler(() => ++lastTextId);
@@ -188,5 +193,9 @@
         journal,
     );
     scheduler.add(engineJobFixture("j", tasks), engineTermsFixture, new JobLog());
-    return { runner, permits, scheduler, view, runs, results, rejected, entries };
+    const setEndsKnown = (areKnown: boolean): void => {
+        state.areEndsKnown = areKnown;
+        void registry.events.emit("endsKnown");
+    };
+    return { runner, permits, scheduler, view, runs, results, rejected, entries, setEndsKnown };
 }
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -7,6 +7,8 @@
     "stopped": "The process has ended.",
     "stop-repeated": "The process was asked to stop once more; the stop that has begun goes on.",
     "stop-cut": "A second SIGINT ended the process while its stop waited for open requests.",
+    "process-late":
+        "The process did its periodic checks late: it had more to do than its processor allows, or was paused.",
     "settings-reloaded": "Changed settings are in force.",
     "settings-rejected": "Changed settings are invalid; the previous ones stay in force.",
     "lines-dropped": "Standard output was not read in time, and lines were dropped.",
@@ -39,6 +41,7 @@
     "job-unsure": "It is not known whether a job is stored.",
     "job-opened": "The conductor has begun to run a job.",
     "job-ended": "A job has ended.",
+    "starts-held": "The conductor begins or ends to hold tasks back, since ends of jobs may be unknown to it.",
     "task-started": "A task's run at an engine has started.",
     "event-rejected": "An event does not come next in its text; the run ends, and nothing of it from there on is used.",
     "task-ended": "A task's run at an engine ended, and how.",
