Send nothing more to a target that says in an answer that it is leaving

Hosts learned of a leaving target only from its entry, which lags, and not at all while the store is down. The adapter decodes Server-Leaving from answers to calls, tasks, orders and requests for reports; the directory keeps the notice for that incarnation and shows it as leaving on all paths; without another target it is used for 1.5 s more.

--- a/packages/core/src/lib/calls/TargetSelector.ts
+++ b/packages/core/src/lib/calls/TargetSelector.ts
@@ -40,7 +40,7 @@
      * others.
      */
     choose(targets: readonly TargetEntryView[], tried: readonly TargetId[], now: Instant): TargetEntryView | undefined {
-        const usable = targets.filter(target => !target.leaving);
+        const usable = usableTargets(targets, now);
         const untried = usable.filter(({ target }) => !tried.includes(target));
         const ready = untried.filter(({ target }) => this.statsOf(target).backoffUntil <= now);
         const pool = ready.length > 0 ? ready : untried.length > 0 ? untried : usable;
@@ -51,7 +51,7 @@
 
     /** The targets in the order in which a call prefers them. */
     rank(targets: readonly TargetEntryView[], tried: readonly TargetId[], now: Instant): readonly TargetEntryView[] {
-        const usable = targets.filter(target => !target.leaving).map(entry => ({
+        const usable = usableTargets(targets, now).map(entry => ({
             entry,
             isTried: tried.includes(entry.target),
             cost: this.cost(entry, now),
@@ -123,3 +123,11 @@
         return stats;
     }
 }
+
+/** The targets that stay; without any, those that said that they are leaving and may still be used. */
+function usableTargets(targets: readonly TargetEntryView[], now: Instant): readonly TargetEntryView[] {
+    const staying = targets.filter(({ leaving }) => !leaving);
+    return staying.length > 0
+        ? staying
+        : targets.filter(({ servesUntil }) => servesUntil !== undefined && servesUntil > now);
+}
--- a/packages/core/src/lib/directory/TargetDirectory.ts
+++ b/packages/core/src/lib/directory/TargetDirectory.ts
@@ -14,6 +14,8 @@
     type ZoneId,
 } from "../ids.js";
 
+import { LeavingNotices } from "./LeavingNotices.js";
+
 /** A target as described by its entry in the store. */
 export interface TargetEntryView {
     readonly target: TargetId;
@@ -30,6 +32,8 @@
     readonly software?: SoftwareVersion | undefined;
     /** Number of times that this incarnation has written its entry; undefined when the entry does not count them. */
     readonly heartbeats?: number | undefined;
+    /** Set if the target said in an answer that it is leaving: until when it may be used if there is no other. */
+    readonly servesUntil?: Instant | undefined;
     /** Whether the platform may take it away at short notice, with all others like it in its zone. */
     readonly isReclaimable?: boolean;
 }
@@ -51,6 +55,7 @@
     /** Start of the first failed read since the last successful one. */
     private failingSince: Instant | undefined;
     private number = 0;
+    private readonly notices = new LeavingNotices();
 
     /** Incremented with each change of the usable targets. */
     get revision(): number {
@@ -108,7 +113,25 @@
         return this.replaceEntries(new Map(read.map(entry => [entry.target, entry])));
     }
 
-    private replaceEntries(next: Map<TargetId, TargetEntryView>): readonly TargetId[] {
+    /**
+     * Records that this incarnation of a target said that it is leaving, and may be used until `servesUntil` if there is no
+     * other; false when that is known already.
+     */
+    recordLeaving({ target, incarnation }: TargetEntryView, servesUntil: Instant): boolean {
+        const isNew = this.notices.record(target, { incarnation, servesUntil });
+        if (isNew) {
+            this.replaceEntries(new Map(this.entries));
+        }
+        return isNew;
+    }
+
+    private withNotice(entry: TargetEntryView): TargetEntryView {
+        const notice = this.notices.get(entry.target, entry.incarnation);
+        return notice === undefined ? entry : { ...entry, leaving: true, servesUntil: notice.servesUntil };
+    }
+
+    private replaceEntries(read: ReadonlyMap<TargetId, TargetEntryView>): readonly TargetId[] {
+        const next = new Map([...read].map(([target, entry]) => [target, this.withNotice(entry)]));
         const changed = [...new Set([...next.keys(), ...this.entries.keys()])]
             .filter(target => !isEquivalent(next.get(target), this.entries.get(target)));
         this.entries = next;
--- a/packages/core/src/lib/limits/RateLimitTable.ts
+++ b/packages/core/src/lib/limits/RateLimitTable.ts
@@ -37,6 +37,8 @@
     /** When its request was sent. */
     readonly sentAt: Instant;
     readonly rateLimit: RateLimitStatement;
+    /** Whether the target says that it is leaving. */
+    readonly isLeaving?: boolean;
 }
 
 /** What a record did to the table. */
--- a/packages/core/src/lib/ports/RolloutTargets.ts
+++ b/packages/core/src/lib/ports/RolloutTargets.ts
@@ -107,6 +107,8 @@
     /** The target's signature of the response, or undefined if it sent none. */
     readonly signature: string | undefined;
     readonly headers: readonly string[];
+    /** Whether the target says that it is leaving; hosts of earlier software do not tell. */
+    readonly isLeaving?: boolean;
 }
 
 /** How one attempt at a target ended; `reached` is true when the target itself refused the call. */
--- a/packages/rollout/src/lib/CallForwarder.ts
+++ b/packages/rollout/src/lib/CallForwarder.ts
@@ -271,6 +271,9 @@
             signal,
         );
         this.recordEnd(target, end, this.now() - startedAt);
+        if (end.kind === "answered" && end.head.isLeaving === true) {
+            this.recordLeaving(target);
+        }
         this.crashes.recordEnd(target, call, end, startedAt);
         this.journal.log("call-attempt", {
             call: call.id,
@@ -291,6 +294,11 @@
         return end;
     }
 
+    /** Records a notice in an answer, which may have come through another host. */
+    private recordLeaving(target: TargetEntryView): void {
+        this.view.recordLeaving(target, after(this.now(), this.settings.leavingNoticeMs));
+    }
+
     private describe(entry: TargetEntryView): string {
         const { limitPerSecond, limitAgeMs } = this.permits.describe(entry);
         return `${entry.target} ${limitPerSecond ?? "no limit"}/s stated ${Math.round(limitAgeMs ?? 0)} ms ago`;
@@ -304,13 +312,18 @@
         target: TargetEntryView,
         software: SoftwareVersion | undefined,
     ): StreamHandler | undefined {
-        if (handler === undefined || call.takeUp !== undefined) {
-            return handler;
+        if (handler === undefined) {
+            return undefined;
         }
         const startedAt = this.now();
         return {
             onHead: head => {
-                void this.recordStream(route, call.id, target, software, startedAt);
+                if (head.isLeaving === true) {
+                    this.recordLeaving(target);
+                }
+                if (call.takeUp === undefined) {
+                    void this.recordStream(route, call.id, target, software, startedAt);
+                }
                 handler.onHead(head);
             },
             onChunk: bytes => handler.onChunk(bytes),
--- a/packages/rollout/src/lib/HostView.ts
+++ b/packages/rollout/src/lib/HostView.ts
@@ -143,6 +143,22 @@
         this.software.observe(directory.targets.map(entry => ({ ...entry, heartbeats: undefined })), startedAt);
     }
 
+    /**
+     * Records that this incarnation of a target said in an answer that it is leaving; until `servesUntil` it is used if there
+     * is no other target.
+     */
+    recordLeaving(entry: TargetEntryView, servesUntil: Instant): void {
+        if (this.directory.recordLeaving(entry, servesUntil)) {
+            this.journal.log("target-leaving", {
+                target: entry.target,
+                incarnation: entry.incarnation,
+                servesForMs: servesUntil - this.clock.now(),
+                viewAgeMs: this.ageMs,
+            });
+            this.emitIfChanged(true);
+        }
+    }
+
     private applyConfig(config: RouteConfig | undefined, source: string): boolean {
         if (config === undefined || config.revision <= (this.routeTable?.config.revision ?? -1)) {
             return false;
--- a/packages/rollout/src/lib/LiveKeyWatch.test.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.test.ts
@@ -26,10 +26,8 @@
 class SilentWatchStore extends MemoryTransactionalStore {
     readonly waits: number[] = [];
 
-    override changes(
-        ...[, , waitMs]: Parameters<TransactionalStore["changes"]>
-    ): ReturnType<MemoryTransactionalStore["changes"]> {
-        this.waits.push(waitMs);
+    override changes(...args: readonly unknown[]): ReturnType<MemoryTransactionalStore["changes"]> {
+        this.waits.push(Number(args[2]));
         return new Promise(() => undefined);
     }
 }
--- a/packages/rollout/src/lib/MemoryStore.test.ts
+++ b/packages/rollout/src/lib/MemoryStore.test.ts
@@ -49,10 +49,7 @@
         return Right({ items: items.sort((a, b) => a.key < b.key ? -1 : 1), asOf: this.revision as KeyRevision });
     }
 
-    async changes(
-        ...unused: Parameters<TransactionalStore["changes"]>
-    ): Promise<Either<KeyValueFailure, StoredChanges>> {
-        void unused;
+    async changes(): Promise<Either<KeyValueFailure, StoredChanges>> {
         return Right({ kind: "changes", changes: [], asOf: this.revision as KeyRevision });
     }
 
--- a/packages/rollout/src/lib/RelayedTargets.ts
+++ b/packages/rollout/src/lib/RelayedTargets.ts
@@ -250,6 +250,8 @@
             ? "This host sends too many requests for others."
             : entry === undefined || entry.incarnation !== ask.incarnation
             ? "This host does not know the target."
+            : entry.leaving && (entry.servesUntil ?? 0) <= this.clock.now()
+            ? "The target is leaving."
             : undefined;
         if (refusal !== undefined || entry === undefined) {
             return Left(problem("unavailable", refusal ?? ""));
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -111,7 +111,7 @@
 
     constructor(
         private readonly identity: RolloutIdentity,
-        settings: RolloutSettings,
+        private readonly settings: RolloutSettings,
         private readonly ports: RolloutPorts,
     ) {
         const { store, documents, peers, clock, random, journal } = ports;
@@ -348,9 +348,17 @@
 
     /** Receives the head of each response of a target, as the adapters of the ports report it. */
     recordResponse(response: TargetResponse): void {
+        if (response.isLeaving === true) {
+            this.view.recordLeaving(response.target, this.leavingDeadline());
+        }
         this.permits.recordResponse(response);
     }
 
+    /** Until when a target that says now that it is leaving is used if there is no other. */
+    private leavingDeadline(): Instant {
+        return after(this.ports.clock.now(), this.settings.leavingNoticeMs);
+    }
+
     /** State of the host, for the dump. */
     describe(): object {
         const { view, conductor, scheduler } = this;
--- a/packages/rollout/src/lib/RolloutSettings.ts
+++ b/packages/rollout/src/lib/RolloutSettings.ts
@@ -41,6 +41,11 @@
      * after that.
      */
     readonly maxUnknownEndMs: number;
+    /**
+     * Time after the answer in which a target said that it is leaving for which it is still used if there is no other
+     * target.
+     */
+    readonly leavingNoticeMs: number;
     /** Time for which an ended job's results stay readable. */
     readonly keepResultsMs: number;
 }
@@ -60,5 +65,6 @@
     changeMs: 1050,
     hedgeShare: 0.45,
     maxUnknownEndMs: 2400,
+    leavingNoticeMs: 1500,
     keepResultsMs: 120_000,
 };
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -20,6 +20,7 @@
     "config-in-force": "A configuration is in force at this host.",
     "config-rejected": "The stored configuration cannot be read; the previous one stays in force.",
     "targets-changed": "Targets were added, changed or removed.",
+    "target-leaving": "A target said in an answer that it is leaving; it is used only if there is no other.",
     "version-named": "A trainer named a weight version.",
     "conductor-changed": "This host follows another conductor.",
     "conductor-claimed": "This host became the conductor.",
--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -79,6 +79,8 @@
 export interface TargetBehaviour {
     readonly ms: number;
     readonly rateLimit: RateLimitStatement;
+    /** Whether each of its answers says that it is leaving. */
+    readonly isLeaving?: boolean;
     /** The outcome of a call, or what decides it at its end. */
     readonly call?: ForwardOutcome | (() => ForwardOutcome | undefined);
     readonly run?: TaskRunOutcome;
@@ -270,7 +272,12 @@
         arrivals.push(arrival);
         const does = behaviour(entry.target, arrival);
         await pause(does.ms / 2);
-        hostsById.get(host)!.recordResponse({ target: entry, sentAt, rateLimit: does.rateLimit });
+        hostsById.get(host)!.recordResponse({
+            target: entry,
+            sentAt,
+            rateLimit: does.rateLimit,
+            isLeaving: does.isLeaving === true,
+        });
         await pause(does.ms / 2);
         return does;
     };
