--- a/packages/core/src/lib/jobs/PaceTracker.ts
+++ b/packages/core/src/lib/jobs/PaceTracker.ts
@@ -38,12 +38,16 @@
  */
 const usualWeight = { faster: 0.3, slower: 0.02 } as const;
 
+/** Milliseconds for which the median pace of all engines is kept, since it is asked for once per engine and decision. */
+const medianTtlMs = 50;
+
 /** Limits of a relative speed, so that no engine is excluded for good or gets all the work. */
 const speedLimits = { min: 0.15, max: 1.3 } as const;
 
 /** Tracks the pace of a set of engines. */
 export class PaceTracker {
     private readonly paces = new Map<TargetId, Pace>();
+    private median: { readonly gapMs: number | undefined; readonly at: Instant; } | undefined;
 
     /** Records the milliseconds between two events of a run. */
     recordGap(target: TargetId, gapMs: number, now: Instant): void {
@@ -84,6 +88,13 @@
     }
 
     private medianGapMs(now: Instant): number | undefined {
+        if (this.median === undefined || now - this.median.at > medianTtlMs || now < this.median.at) {
+            this.median = { gapMs: this.computeMedianGapMs(now), at: now };
+        }
+        return this.median.gapMs;
+    }
+
+    private computeMedianGapMs(now: Instant): number | undefined {
         const gaps = [...this.paces.keys()].flatMap(target => this.currentGapMs(target, now) ?? []).sort((a, b) =>
             a - b
         );
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -205,16 +205,31 @@
         if (this.isHeld(now)) {
             return;
         }
+        if (this.hasWaiting) {
+            this.startWaiting(now);
+        }
+        this.scheduleDispatch(now);
+    }
+
+    /** Starts waiting tasks until none can start; only the capacity of the engine that got a task is computed again. */
+    private startWaiting(now: Instant): void {
+        let engines = this.engineCapacities();
+        const softwareOf = new Map<ServiceId, ReadonlySet<SoftwareVersion>>();
+        const listed = (service: ServiceId): ReadonlySet<SoftwareVersion> => {
+            const known = softwareOf.get(service) ?? this.listedSoftware(service);
+            softwareOf.set(service, known);
+            return known;
+        };
         for (;;) {
-            const next = this.hasWaiting
-                ? this.scheduler.next(this.engineCapacities(), now, service => this.listedSoftware(service))
-                : undefined;
+            const next = this.scheduler.next(engines, now, listed);
             if (next === undefined) {
-                break;
+                return;
             }
             void this.run(next);
+            const entry = this.view.directory.get(next.target);
+            const updated = entry === undefined ? undefined : this.capacityOf(entry, now);
+            engines = engines.flatMap(engine => engine.target === next.target ? updated ?? [] : engine);
         }
-        this.scheduleDispatch(now);
     }
 
     /**
@@ -249,25 +264,28 @@
 
     private engineCapacities(): readonly EngineCapacity[] {
         const now = this.clock.now();
-        return this.view.directory.targets.flatMap(entry => {
-            const spec = this.view.routes?.service(entry.service);
-            if (spec?.engine === undefined || entry.leaving || this.backoff.isBackingOff(entry, now)) {
-                return [];
-            }
-            const running = this.runningAt(entry.target);
-            return [{
-                target: entry.target,
-                service: entry.service,
-                slots: Math.min(slotsOf(entry, spec), running + this.permits.available(entry, tasksFlow, now)),
-                running,
-                versionOf: model => this.versions.versionOf(entry, model, now),
-                speed: this.paceTracker.speedOf(entry.target, now),
-                usualGapMs: this.paceTracker.usualGapMs(entry.target),
-                incarnation: entry.incarnation,
-                software: this.view.software.of(entry),
-                isBeingReplaced: this.view.releases.isBeingReplaced(entry.service, entry.software, now),
-            }];
-        });
+        return this.view.directory.targets.flatMap(entry => this.capacityOf(entry, now) ?? []);
+    }
+
+    /** The capacity of an engine; undefined if no task may start there. */
+    private capacityOf(entry: TargetEntryView, now: Instant): EngineCapacity | undefined {
+        const spec = this.view.routes?.service(entry.service);
+        if (spec?.engine === undefined || entry.leaving || this.backoff.isBackingOff(entry, now)) {
+            return undefined;
+        }
+        const running = this.runningAt(entry.target);
+        return {
+            target: entry.target,
+            service: entry.service,
+            slots: Math.min(slotsOf(entry, spec), running + this.permits.available(entry, tasksFlow, now)),
+            running,
+            versionOf: model => this.versions.versionOf(entry, model, now),
+            speed: this.paceTracker.speedOf(entry.target, now),
+            usualGapMs: this.paceTracker.usualGapMs(entry.target),
+            incarnation: entry.incarnation,
+            software: this.view.software.of(entry),
+            isBeingReplaced: this.view.releases.isBeingReplaced(entry.service, entry.software, now),
+        };
     }
 
     /** The software of a service's engines that stay, with those that have no room or are in backoff. */
