--- a/packages/core/src/lib/calls/RouteTable.ts
+++ b/packages/core/src/lib/calls/RouteTable.ts
@@ -3,6 +3,7 @@
 import { type Scaling } from "../capacity/Scaling.js";
 import { type ConfigRevision, type RouteId, type ServiceId } from "../ids.js";
 import { type Organisation } from "../organisations/Organisation.js";
+import { OrganisationTable } from "../organisations/OrganisationTable.js";
 
 /** Kind of a route, which decides what may be repeated. */
 export type RouteKind = "idempotent" | "non-idempotent" | "streaming" | "jobs";
@@ -79,8 +80,10 @@
     readonly organisations?: readonly Organisation[] | undefined;
 }
 
-/** Looks up routes and services. */
+/** Looks up routes, services and organisations. */
 export class RouteTable {
+    /** Undefined if requests need no credential. */
+    readonly organisations: OrganisationTable | undefined;
     private readonly byHost = new Map<string, readonly Route[]>();
     private readonly services: ReadonlyMap<ServiceId, ServiceSpec>;
 
@@ -92,6 +95,9 @@
             this.byHost.set(host, [...routes].sort((a, b) => b.prefix.length - a.prefix.length));
         }
         this.services = new Map(config.services.map(service => [service.id, service]));
+        this.organisations = config.organisations === undefined
+            ? undefined
+            : new OrganisationTable(config.organisations);
     }
 
     /** The route with the longest prefix of `path` among those of `host`. */
