--- a/packages/core/src/lib/findings.ts
+++ b/packages/core/src/lib/findings.ts
@@ -19,17 +19,21 @@
     return text.length <= maxReadLength ? text : `${text.slice(0, maxReadLength)}...`;
 }
 
-/** Checks `input` against `schema`. Left holds every finding, Right the checked value. */
+/**
+ * Checks `input` against `schema`. Left holds every finding, Right the checked value. Values below the keys in
+ * `secretKeys` of the input, and those that contain them, do not appear in findings.
+ */
 export function check<Schema extends z.ZodType>(
     schema: Schema,
     input: unknown,
     root = "",
+    secretKeys: readonly string[] = [],
 ): Either<readonly Finding[], z.output<Schema>> {
     const parsed = schema.safeParse(input);
     if (parsed.success) {
         return Right(parsed.data);
     }
-    const findings = parsed.error.issues.flatMap(issue => toFindings(schema, input, root, issue));
+    const findings = parsed.error.issues.flatMap(issue => toFindings(schema, input, root, issue, secretKeys));
     return Left(findings.slice(0, maxFindings));
 }
 
@@ -38,19 +42,31 @@
     input: unknown,
     root: string,
     issue: z.core.$ZodIssue,
+    secretKeys: readonly string[],
 ): readonly Finding[] {
+    const [first] = issue.path;
+    const isSecret = secretKeys.length > 0 && (first === undefined || secretKeys.includes(String(first)));
     if (issue.code !== "unrecognized_keys") {
-        const read = shorten(valueAt(input, issue.path));
+        const value = valueAt(input, issue.path);
+        const read = isSecret ? describeType(value) : shorten(value);
         return [{ place: formatPlace(root, issue.path), read, allowed: describeAllowed(issue) }];
     }
     const known = knownKeys(schema, issue.path);
     return issue.keys.map(key => ({
         place: formatPlace(root, [...issue.path, key]),
-        read: `the unknown key "${shorten(key)}"`,
+        read: isSecret ? "an unknown key" : `the unknown key "${shorten(key)}"`,
         allowed: suggestKeys(key, known),
     }));
 }
 
+/** Describes a value that must not be shown. */
+function describeType(value: unknown): string {
+    if (value === undefined) {
+        return "nothing";
+    }
+    return `a value of type ${value === null ? "null" : Array.isArray(value) ? "array" : typeof value}, not shown`;
+}
+
 function describeAllowed(issue: z.core.$ZodIssue): string {
     const isDefaultMessage = issue.code === "invalid_type" && issue.message.startsWith("Invalid input");
     return isDefaultMessage ? `a value of type ${issue.expected}` : issue.message;
--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -13,6 +13,7 @@
     type Incarnation,
     type JobId,
     type KeyRevision,
+    type OrganisationId,
     type ServiceId,
     type StepId,
     type TargetId,
@@ -230,9 +231,12 @@
     readonly lastOrderAgeMs: number | undefined;
 }
 
-/** Whether a submitted job is stored, or was and has ended; "unknown" means that it may be stored. */
+/**
+ * Whether a submitted job is stored, or was and has ended; "unknown" means that it may be stored, and "other-owner" that
+ * another organisation submitted a job under the same id. Earlier software does not know "other-owner" and asks the store.
+ */
 export interface JobAcceptance {
-    readonly outcome: "kept" | "ended" | "not-kept" | "unknown";
+    readonly outcome: "kept" | "ended" | "not-kept" | "unknown" | "other-owner";
 }
 
 /** A job that a caller submitted; the conductor has `deadlineMs` milliseconds to store it. */
@@ -247,7 +251,7 @@
     readonly isSure: boolean;
 }
 
-/** The job, or the task of the job, does not exist. */
+/** The job, or the task of the job, does not exist, or belongs to another organisation. */
 export interface JobUnknown {
     readonly unknown: true;
 }
@@ -376,14 +380,27 @@
      */
     "job-submit": { readonly ask: JobSubmission; readonly answer: JobAcceptance; };
     "job-read": {
-        readonly ask: { readonly job: JobId; readonly after: number; readonly waitMs: number; };
-        readonly answer: ConductorPage;
+        readonly ask: {
+            readonly job: JobId;
+            readonly after: number;
+            readonly waitMs: number;
+            /** The caller's organisation, in this and the next two; undefined if it has none, or at earlier software. */
+            readonly organisation?: OrganisationId | undefined;
+        };
+        readonly answer: ConductorPage | JobUnknown;
     };
     "job-body": {
-        readonly ask: { readonly job: JobId; readonly task: TaskId; };
+        readonly ask: {
+            readonly job: JobId;
+            readonly task: TaskId;
+            readonly organisation?: OrganisationId | undefined;
+        };
         readonly answer: { readonly body: Uint8Array; } | JobUnknown;
     };
-    "job-end": { readonly ask: { readonly job: JobId; }; readonly answer: { readonly ended: true; } | JobUnknown; };
+    "job-end": {
+        readonly ask: { readonly job: JobId; readonly organisation?: OrganisationId | undefined; };
+        readonly answer: { readonly ended: true; } | JobUnknown;
+    };
     /** Reports the sender's requests in flight, by target. */
     "in-flight": {
         readonly ask: { readonly host: HostId; readonly counts: Readonly<Record<string, number>>; };
--- a/packages/core/src/lib/ports/RolloutTargets.ts
+++ b/packages/core/src/lib/ports/RolloutTargets.ts
@@ -21,6 +21,8 @@
     readonly host: string;
     /** The organisation that submitted the job, which the engine is told. */
     readonly organisation?: OrganisationId | undefined;
+    /** Whether the configuration has organisations, so that the task's own headers must not name one. */
+    readonly hasOrganisations?: boolean;
     /** Number of the last event received in earlier runs; the engine resumes after it. */
     readonly afterEvent: number | undefined;
     /** Maximum number of connections from this host to the engine. */
--- a/packages/rollout/src/lib/JobCallHandler.ts
+++ b/packages/rollout/src/lib/JobCallHandler.ts
@@ -15,7 +15,9 @@
     type JobId,
     type JobSubmission,
     type JobUnknown,
+    mayAccessJob,
     msUntil,
+    type OrganisationId,
     pageOf,
     type PeerNetwork,
     type PeerRequestName,
@@ -30,7 +32,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import { type ConductorTask } from "./ConductorTask.js";
 import { type JobRegistry } from "./JobRegistry.js";
-import { type JobStore, partsOf } from "./JobStore.js";
+import { type JobStore, partsOf, type StoredJob, type StoreOutcome } from "./JobStore.js";
 import { type Journal } from "./Journal.js";
 
 /** Options of a job call handler. */
@@ -72,11 +74,11 @@
         peers.handle("job-keep", submission => this.keepForPeer(submission));
         peers.handle("job-submit", async submission =>
             (await this.keepForPeer(submission)).map(({ outcome }) => ({
-                outcome: outcome === "ended" ? "kept" : outcome,
+                outcome: outcome === "ended" ? "kept" : outcome === "other-owner" ? "not-kept" : outcome,
             })));
-        peers.handle("job-read", ask => this.readLocally(ask.job, ask.after, ask.waitMs));
-        peers.handle("job-body", async ask => this.bodyLocally(ask.job, ask.task));
-        peers.handle("job-end", ask => this.endLocally(ask.job));
+        peers.handle("job-read", ask => this.readLocally(ask.job, ask.after, ask.waitMs, ask.organisation));
+        peers.handle("job-body", async ask => this.bodyLocally(ask.job, ask.task, ask.organisation));
+        peers.handle("job-end", ask => this.endLocally(ask.job, ask.organisation));
     }
 
     /** Stores a job, retrying until shortly before `deadline`; "unknown" means that it may be stored. */
@@ -87,6 +89,7 @@
             "kept": "job-kept",
             "ended": "job-ended-before",
             "not-kept": "job-refused",
+            "other-owner": "job-of-other-owner",
             "unknown": "job-unsure",
         } as const;
         this.journal.log(event[acceptance.outcome], {
@@ -100,42 +103,56 @@
     }
 
     /** Returns the results from `position` on, waiting up to `waitMs` for the first one. */
-    async read(job: JobId, position: number, waitMs: number): Promise<Either<Problem, ResultPage | JobUnknown>> {
+    async read(
+        job: JobId,
+        position: number,
+        waitMs: number,
+        organisation?: OrganisationId,
+    ): Promise<Either<Problem, ResultPage | JobUnknown>> {
         const res = this.conductor.isConductor
-            ? await this.readLocally(job, position, waitMs)
+            ? await this.readLocally(job, position, waitMs, organisation)
             : await this.requestFromConductor(
                 "job-read",
-                { job, after: position, waitMs },
+                { job, after: position, waitMs, organisation },
                 waitMs + peerAnswerMarginMs,
             );
         const page = res.toMaybe().extract();
-        if (page?.isSure === true) {
+        if (page !== undefined && ("unknown" in page || page.isSure)) {
             return Right(page);
         }
-        const stored = await this.readFromStore(job, position);
+        const stored = await this.readFromStore(job, position, organisation);
         // Listed results never change, so the conductor's page is a valid answer when the store does not answer.
         return page !== undefined && stored.isLeft() ? Right(page) : stored;
     }
 
-    async body(job: JobId, task: TaskId): Promise<Either<Problem, { readonly body: Uint8Array; } | JobUnknown>> {
+    async body(
+        job: JobId,
+        task: TaskId,
+        organisation?: OrganisationId,
+    ): Promise<Either<Problem, { readonly body: Uint8Array; } | JobUnknown>> {
         const res = this.conductor.isConductor
-            ? this.bodyLocally(job, task)
-            : await this.requestFromConductor("job-body", { job, task }, peerAnswerMarginMs);
+            ? this.bodyLocally(job, task, organisation)
+            : await this.requestFromConductor("job-body", { job, task, organisation }, peerAnswerMarginMs);
         if (res.isRight()) {
             return res;
         }
         const found = await this.jobs.find(job);
         return found.bimap(failure => problem("unavailable", failure.detail), stored => {
-            const known = stored.kind === "open" ? stored.job.tasks.find(({ id }) => id === task) : undefined;
+            const known = stored.kind === "open" && mayAccessJob(stored.job.organisation, organisation)
+                ? stored.job.tasks.find(({ id }) => id === task)
+                : undefined;
             return known === undefined ? unknownJob : { body: known.body };
         });
     }
 
-    async end(job: JobId): Promise<Either<Problem, { readonly ended: true; } | JobUnknown>> {
+    async end(
+        job: JobId,
+        organisation?: OrganisationId,
+    ): Promise<Either<Problem, { readonly ended: true; } | JobUnknown>> {
         const res = this.conductor.isConductor
-            ? await this.endLocally(job)
-            : await this.requestFromConductor("job-end", { job }, peerAnswerMarginMs);
-        return res.isRight() ? res : this.endInStore(job);
+            ? await this.endLocally(job, organisation)
+            : await this.requestFromConductor("job-end", { job, organisation }, peerAnswerMarginMs);
+        return res.isRight() ? res : this.endInStore(job, organisation);
     }
 
     private async submitToConductorOrStore(
@@ -156,14 +173,14 @@
                 after(this.clock.now(), ms + 200),
             );
             const answer = res.toMaybe().chain(inner => inner.toMaybe()).extract();
-            if (answer?.outcome === "kept" || answer?.outcome === "ended") {
+            if (answer?.outcome === "kept" || answer?.outcome === "ended" || answer?.outcome === "other-owner") {
                 return { acceptance: answer, route: host };
             }
             mayBeKept = answer?.outcome === "unknown" || res.isLeft() && res.extract().reason === "no-answer";
         }
         const outcome = await this.jobs.keep(job, deadline, this.options.isCutOff);
         const isUnsure = outcome === "not-kept" && mayBeKept;
-        return { acceptance: { outcome: isUnsure ? "unknown" : outcome }, route: "store" };
+        return { acceptance: { outcome: isUnsure ? "unknown" : acceptedAs(outcome) }, route: "store" };
     }
 
     private async keepForPeer({ job, deadlineMs }: JobSubmission): Promise<Either<Problem, JobAcceptance>> {
@@ -174,6 +191,9 @@
 
     /** Stores a job and opens it on this host, which is the conductor, unless the job has ended. */
     private async storeAndOpen(job: Job, deadline: Instant): Promise<JobAcceptance> {
+        if (this.registry.has(job.id) && !this.isOpenTo(job.id, job.organisation)) {
+            return { outcome: "other-owner" };
+        }
         if (this.registry.hasEnded(job.id)) {
             return { outcome: "ended" };
         }
@@ -181,17 +201,28 @@
             return { outcome: "kept" };
         }
         const outcome = await this.jobs.keep(job, deadline, () => !this.conductor.isConductor);
-        if (outcome === "kept") {
-            await this.registry.openStored(job);
+        if (outcome === "kept" || outcome === "kept-open-to-all") {
+            await this.registry.openStored(outcome === "kept" ? job : { ...job, organisation: undefined });
         }
-        return { outcome };
+        return { outcome: acceptedAs(outcome) };
+    }
+
+    /** Whether a caller of `organisation` may read or end a job that is open or ended in memory. */
+    private isOpenTo(job: JobId, organisation: OrganisationId | undefined): boolean {
+        return mayAccessJob(this.registry.ownerOf(job), organisation);
+    }
+
+    /** The answer about a job of another organisation, for certain only while this host is certain to conduct. */
+    private deny(): Either<Problem, JobUnknown> {
+        return this.conductor.isSure ? Right(unknownJob) : Left(notConductor);
     }
 
     private async readLocally(
         job: JobId,
         position: number,
         waitMs: number,
-    ): Promise<Either<Problem, ConductorPage>> {
+        organisation: OrganisationId | undefined,
+    ): Promise<Either<Problem, ConductorPage | JobUnknown>> {
         const deadline = after(this.clock.now(), waitMs);
         for (;;) {
             const known = this.conductor.isConductor ? this.registry.logOf(job) : undefined;
@@ -201,6 +232,9 @@
                 }
                 return Left(notConductor);
             }
+            if (!mayAccessJob(known.organisation, organisation)) {
+                return this.deny();
+            }
             const { log, total } = known;
             const isWhole = log.listed.length >= total || this.registry.hasEnded(job);
             const isSure = this.conductor.isSure && log.isInSync;
@@ -211,8 +245,15 @@
         }
     }
 
-    private bodyLocally(job: JobId, task: TaskId): Either<Problem, { readonly body: Uint8Array; } | JobUnknown> {
+    private bodyLocally(
+        job: JobId,
+        task: TaskId,
+        organisation: OrganisationId | undefined,
+    ): Either<Problem, { readonly body: Uint8Array; } | JobUnknown> {
         const open = this.conductor.isConductor ? this.registry.scheduler.get(job) : undefined;
+        if (!mayAccessJob(open?.job.organisation, organisation)) {
+            return this.deny();
+        }
         const known = open?.job.tasks.find(({ id }) => id === task);
         if (known === undefined && this.conductor.isSure && this.registry.hasEnded(job)) {
             return Right(unknownJob);
@@ -220,17 +261,27 @@
         return known === undefined ? Left(notConductor) : Right({ body: known.body });
     }
 
-    private async endLocally(job: JobId): Promise<Either<Problem, { readonly ended: true; } | JobUnknown>> {
+    private async endLocally(
+        job: JobId,
+        organisation: OrganisationId | undefined,
+    ): Promise<Either<Problem, { readonly ended: true; } | JobUnknown>> {
+        if (!this.isOpenTo(job, organisation)) {
+            return this.deny();
+        }
         const hasEnded = this.conductor.isSure && await this.registry.end(job);
         return hasEnded ? Right({ ended: true }) : Left(notConductor);
     }
 
-    private async readFromStore(job: JobId, position: number): Promise<Either<Problem, ResultPage | JobUnknown>> {
+    private async readFromStore(
+        job: JobId,
+        position: number,
+        organisation: OrganisationId | undefined,
+    ): Promise<Either<Problem, ResultPage | JobUnknown>> {
         const deadline = after(this.clock.now(), storeReadTimeoutMs);
         const found = await this.jobs.find(job);
         const chunks = found.isLeft() || this.clock.now() > deadline ? undefined : await this.jobs.results(job);
         return found.bimap(failure => this.unsure(job, failure.detail), stored => stored).chain(stored => {
-            if (stored.kind === "absent") {
+            if (stored.kind === "absent" || !mayAccessJob(ownerOf(stored), organisation)) {
                 return Right(unknownJob);
             }
             const total = stored.kind === "open" ? stored.job.tasks.length : stored.ended.total;
@@ -243,16 +294,23 @@
         });
     }
 
-    private async endInStore(job: JobId): Promise<Either<Problem, { readonly ended: true; } | JobUnknown>> {
+    private async endInStore(
+        job: JobId,
+        organisation: OrganisationId | undefined,
+    ): Promise<Either<Problem, { readonly ended: true; } | JobUnknown>> {
         const found = await this.jobs.find(job);
         const stored = found.toMaybe().extract();
         if (stored === undefined) {
             return Left(problem("unavailable", "The store cannot be asked."));
         }
-        if (stored.kind !== "open") {
-            return Right(stored.kind === "ended" ? { ended: true } : unknownJob);
+        if (stored.kind === "absent" || !mayAccessJob(ownerOf(stored), organisation)) {
+            return Right(unknownJob);
+        }
+        if (stored.kind === "ended") {
+            return Right({ ended: true });
         }
-        const res = await this.jobs.end(job, stored.job.tasks.length, partsOf(stored.job));
+        const { job: open } = stored;
+        const res = await this.jobs.end(job, open.tasks.length, partsOf(open), open.organisation);
         return res.bimap(failure => problem("unavailable", failure.detail), () => ({ ended: true }));
     }
 
@@ -286,4 +344,16 @@
     }
 }
 
+function ownerOf(stored: StoredJob): OrganisationId | undefined {
+    return stored.kind === "open"
+        ? stored.job.organisation
+        : stored.kind === "ended"
+        ? stored.ended.organisation
+        : undefined;
+}
+
+function acceptedAs(outcome: StoreOutcome): JobAcceptance["outcome"] {
+    return outcome === "kept-open-to-all" ? "kept" : outcome;
+}
+
 const notConductor = problem("unavailable", "This host does not conduct the job.");
--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -13,6 +13,7 @@
     type JobScheduler,
     type JobTerms,
     type OpenJob,
+    type OrganisationId,
     sleepUntil,
     type TaskResult,
     type TaskRun,
@@ -38,9 +39,16 @@
     readonly termsOf: (job: Job) => JobTerms | undefined;
 }
 
-interface EndedJobLog {
+/** The results of a job in memory. */
+export interface KnownJobLog {
     readonly log: JobLog;
+    /** Number of the job's tasks. */
     readonly total: number;
+    /** The organisation that submitted the job. */
+    readonly organisation: OrganisationId | undefined;
+}
+
+interface EndedJobLog extends KnownJobLog {
     readonly endedAt: Instant;
 }
 
@@ -58,8 +66,11 @@
     readonly events = new Emittery<JobRegistryEvents>();
     private readonly writer: ResultWriter;
     private readonly ended = new Map<JobId, EndedJobLog>();
-    /** Jobs whose end became known while they were not open here, with the time of that. */
-    private readonly endedUnopened = new Map<JobId, Instant>();
+    /** Jobs whose end became known while they were not open here, with the time of that and their organisation. */
+    private readonly endedUnopened = new Map<
+        JobId,
+        { readonly knownAt: Instant; readonly organisation: OrganisationId | undefined; }
+    >();
     private readonly opening = new Set<JobId>();
     /** Results from a previous conductor, for jobs that are not open here yet. */
     private readonly inherited = new Map<JobId, TaskResult[]>();
@@ -189,7 +200,8 @@
         }
         const log = new JobLog();
         chunks.forEach(chunk => log.adopt(chunk));
-        this.ended.set(id, { log, total: stored.ended.total, endedAt: this.clock.now() });
+        const { total, organisation } = stored.ended;
+        this.ended.set(id, { log, total, organisation, endedAt: this.clock.now() });
         return true;
     }
 
@@ -197,10 +209,17 @@
         return this.scheduler.get(job) !== undefined || this.hasEnded(job);
     }
 
-    /** The results of a job in memory, with the number of its tasks. */
-    logOf(job: JobId): { readonly log: JobLog; readonly total: number; } | undefined {
+    /** The organisation of a job that is open or ended here, if it has one. */
+    ownerOf(job: JobId): OrganisationId | undefined {
+        return this.logOf(job)?.organisation ?? this.endedUnopened.get(job)?.organisation;
+    }
+
+    /** The results of a job in memory. */
+    logOf(job: JobId): KnownJobLog | undefined {
         const open = this.scheduler.get(job);
-        return open === undefined ? this.ended.get(job) : { log: open.log, total: open.job.tasks.length };
+        return open === undefined
+            ? this.ended.get(job)
+            : { log: open.log, total: open.job.tasks.length, organisation: open.job.organisation };
     }
 
     /** Ends a job; true once the store holds its end mark. */
@@ -210,27 +229,35 @@
             return this.hasEnded(id);
         }
         const { job } = open;
-        const res = await this.jobs.end(id, job.tasks.length, partsOf(job));
+        const res = await this.jobs.end(id, job.tasks.length, partsOf(job), job.organisation);
         if (res.isLeft()) {
             return false;
         }
-        this.close(id);
+        this.close(id, job.organisation);
         return true;
     }
 
-    /** Closes a job that the store holds as ended, and stops its runs; a job that is not open yet is not opened. */
-    close(id: JobId): void {
+    /**
+     * Closes a job that the store holds as ended, and stops its runs; a job that is not open yet is not opened.
+     * `organisation` is that of the end mark.
+     */
+    close(id: JobId, organisation?: OrganisationId): void {
         const open = this.scheduler.get(id);
         if (open === undefined) {
             this.unroutable.delete(id);
             this.inherited.delete(id);
             if (!this.hasEnded(id)) {
-                this.endedUnopened.set(id, this.clock.now());
+                this.endedUnopened.set(id, { knownAt: this.clock.now(), organisation });
             }
             return;
         }
         const stopped = this.scheduler.remove(id);
-        this.ended.set(id, { log: open.log, total: open.job.tasks.length, endedAt: this.clock.now() });
+        this.ended.set(id, {
+            log: open.log,
+            total: open.job.tasks.length,
+            organisation: open.job.organisation,
+            endedAt: this.clock.now(),
+        });
         this.journal.log("job-ended", {
             job: id,
             listed: open.log.listed.length,
@@ -256,7 +283,7 @@
                 this.ended.delete(job);
             }
         }
-        for (const [job, knownAt] of this.endedUnopened) {
+        for (const [job, { knownAt }] of this.endedUnopened) {
             if (now - knownAt > endedJobTtlMs) {
                 this.endedUnopened.delete(job);
             }
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -290,6 +290,8 @@
             {
                 task: run.task,
                 host: job.host,
+                organisation: job.organisation,
+                hasOrganisations: this.view.routes?.organisations !== undefined,
                 afterEvent: resumedAfter,
                 maxConnections: slotsOf(entry, spec),
                 permit: this.permits.take(entry, tasksFlow),
--- a/packages/rollout/src/lib/JobStore.ts
+++ b/packages/rollout/src/lib/JobStore.ts
@@ -13,6 +13,8 @@
     jobKeys,
     type KeyRevision,
     type KeyValueFailure,
+    mayAccessJob,
+    type OrganisationId,
     type ResultChunk,
     sleepUntil,
     type StoredItem,
@@ -25,6 +27,8 @@
 export interface EndedJob {
     readonly total: number;
     readonly endedAt: number;
+    /** The organisation that submitted the job; undefined if it had none, or in a mark of earlier software. */
+    readonly organisation?: OrganisationId | undefined;
 }
 
 /** A job as the store holds it. */
@@ -34,10 +38,11 @@
     | { readonly kind: "absent"; };
 
 /**
- * How the storing of a job ended: "ended" means that the job was stored before and has ended, "unknown" that it may be
- * stored, now or later.
+ * How the storing of a job ended: "ended" means that the job was stored before and has ended, "kept-open-to-all" that it
+ * was stored before without an organisation, which it keeps, "other-owner" that another organisation submitted it, and
+ * "unknown" that it may be stored, now or later.
  */
-export type StoreOutcome = "kept" | "ended" | "not-kept" | "unknown";
+export type StoreOutcome = "kept" | "kept-open-to-all" | "ended" | "other-owner" | "not-kept" | "unknown";
 
 /**
  * Why results could not be written; `claim` holds the current item of the claim's key when another host has the claim.
@@ -75,7 +80,7 @@
                 "jobs",
             );
             const settled = res.caseOf<StoreOutcome | undefined>({
-                Right: result => hasConflictAt(result, jobKeys.ended(job.id)) ? "ended" : "kept",
+                Right: result => outcomeOf(result, job),
                 Left: failure => {
                     mayBeKept ||= failure.applied === "unknown";
                     return undefined;
@@ -91,9 +96,14 @@
         }
     }
 
-    /** Ends a job; Left when it may not have ended. */
-    async end(job: JobId, total: number, parts: number): Promise<Either<KeyValueFailure, CommitResult>> {
-        const mark: EndedJob = { total, endedAt: Date.now() };
+    /** Ends a job, whose end mark keeps its organisation; Left when it may not have ended. */
+    async end(
+        job: JobId,
+        total: number,
+        parts: number,
+        organisation?: OrganisationId,
+    ): Promise<Either<KeyValueFailure, CommitResult>> {
+        const mark: EndedJob = { total, endedAt: Date.now(), ...(organisation === undefined ? {} : { organisation }) };
         return this.store.commit(
             {
                 expected: [],
@@ -201,13 +211,17 @@
     readonly id: JobId;
     /** Number of further parts; with 0 the document itself contains the job. */
     readonly parts: number;
-    readonly job: Job;
+    /** Undefined if the job is in further parts. */
+    readonly job?: Job;
+    /** The job's organisation, if the job is in further parts. */
+    readonly organisation?: OrganisationId | undefined;
 }
 
 function documentsOf(job: Job): { key: string; value: Uint8Array; }[] {
     const packed = pack(job);
     if (packed.length <= maxPartBytes) {
-        return [{ key: jobKeys.open(job.id), value: pack({ id: job.id, parts: 0, job }) }];
+        const document: JobDocument = { id: job.id, parts: 0, job };
+        return [{ key: jobKeys.open(job.id), value: pack(document) }];
     }
     const parts = Array.from(
         { length: Math.ceil(packed.length / maxPartBytes) },
@@ -216,7 +230,9 @@
             value: packed.subarray(nth * maxPartBytes, (nth + 1) * maxPartBytes),
         }),
     );
-    return [{ key: jobKeys.open(job.id), value: pack({ id: job.id, parts: parts.length }) }, ...parts];
+    const { id, organisation } = job;
+    const head: JobDocument = { id, parts: parts.length, ...(organisation === undefined ? {} : { organisation }) };
+    return [{ key: jobKeys.open(id), value: pack(head) }, ...parts];
 }
 
 /** Number of parts of a job's document besides its head. */
@@ -224,8 +240,24 @@
     return documentsOf(job).length - 1;
 }
 
-function hasConflictAt(result: CommitResult, key: string): boolean {
-    return result.kind === "conflict" && result.current.some(item => item.key === key);
+/** What the result of a job's write says: a conflict shows the job that an earlier write stored. */
+function outcomeOf(result: CommitResult, { id, organisation }: Job): StoreOutcome {
+    const current = result.kind === "conflict" ? result.current : [];
+    const ended = current.find(({ key }) => key === jobKeys.ended(id));
+    const open = current.find(({ key }) => key === jobKeys.open(id));
+    const owner = ended !== undefined
+        ? (unpack(ended.value) as EndedJob).organisation
+        : open !== undefined
+        ? ownerOf(unpack(open.value) as JobDocument)
+        : organisation;
+    if (!mayAccessJob(owner, organisation)) {
+        return "other-owner";
+    }
+    return ended !== undefined ? "ended" : owner === organisation ? "kept" : "kept-open-to-all";
+}
+
+function ownerOf({ job, organisation }: JobDocument): OrganisationId | undefined {
+    return job?.organisation ?? organisation;
 }
 
 function decodeChunk(item: StoredItem): ResultChunk {
--- a/packages/rollout/src/lib/LiveKeyWatch.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.ts
@@ -75,7 +75,7 @@
         }
         const open = range.items.filter(({ key }) => key.startsWith(jobKeys.openPrefix));
         const ended = range.items.filter(({ key }) => key.startsWith(jobKeys.endedPrefix));
-        ended.forEach(({ key }) => this.registry.close(jobOf(key, jobKeys.endedPrefix)));
+        ended.forEach(item => this.closeEnded(item));
         await Promise.all(open.map(item => this.openStored(item)));
         void this.registry.removeEndedFromStore(
             ended.map(item => ({
@@ -96,7 +96,7 @@
                 this.conductor.applyClaimChange(item, item?.revision ?? seen.asOf);
             }
             else if (key.startsWith(jobKeys.endedPrefix) && item !== undefined) {
-                this.registry.close(jobOf(key, jobKeys.endedPrefix));
+                this.closeEnded(item);
             }
             else if (key.startsWith(jobKeys.openPrefix) && item !== undefined) {
                 await this.openStored(item);
@@ -105,6 +105,10 @@
         return seen.asOf;
     }
 
+    private closeEnded({ key, value }: StoredItem): void {
+        this.registry.close(jobOf(key, jobKeys.endedPrefix), (unpack(value) as EndedJob).organisation);
+    }
+
     private async openStored(item: StoredItem): Promise<void> {
         if (this.registry.has(jobOf(item.key, jobKeys.openPrefix))) {
             return;
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -449,15 +449,17 @@
     }
 
     private termsOf(job: Job): JobTerms | undefined {
-        const route = this.view.routes?.find(job.host, job.path);
+        const { routes } = this.view;
+        const route = routes?.find(job.host, job.path);
         const service = route?.services[0]?.service;
         if (route === undefined || service === undefined) {
             return undefined;
         }
+        const owner = job.organisation === undefined ? undefined : routes?.organisations?.get(job.organisation);
         return {
             service,
             maxAttempts: route.maxAttempts,
-            priority: route.priority,
+            priority: owner?.priority ?? route.priority,
             singleVersion: route.singleVersion,
             expiresAt: (job.submittedAt + route.taskTtlMs) as Instant,
             dueAt: (job.submittedAt + route.jobTargetMs) as Instant,
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -36,6 +36,7 @@
     "job-kept": "A job is stored and will be run.",
     "job-ended-before": "A job that has ended was submitted again; it is accepted, and nothing of it runs.",
     "job-refused": "A job was refused; nothing of it runs.",
+    "job-of-other-owner": "A job was refused, because another organisation submitted one under its id.",
     "job-unsure": "It is not known whether a job is stored.",
     "job-opened": "The conductor has begun to run a job.",
     "job-ended": "A job has ended.",
@@ -48,6 +49,8 @@
     "read-answered": "A read of results could not be answered in full.",
     "host-retired": "A retiring host holds nothing, and the conductor confirms it.",
     "call-attempt": "A call was sent to a target, and how that ended.",
+    "call-refused":
+        "Requests were refused for their credential, or because the configuration may be out of date; one line a second.",
     "call-relayed": "An attempt at a call was sent through another host, since this host reaches no target.",
     "reach-changed": "This host found that it reaches no target, or that it reaches targets again.",
     "call-ended": "A call has its final answer.",
