Test organisations over several hosts and at the front, and keep those of a revision that came without them

Cause: the paths on which another organisation might reach a job, or a credential leave its host, were not tested; and a host that got a revision from a conductor of earlier software kept it without its organisations.

--- a/packages/rollout/src/lib/HostView.ts
+++ b/packages/rollout/src/lib/HostView.ts
@@ -144,7 +144,13 @@
     }
 
     private applyConfig(config: RouteConfig | undefined, source: string): boolean {
-        if (config === undefined || config.revision <= (this.routeTable?.config.revision ?? -1)) {
+        const current = this.routeTable?.config;
+        if (config === undefined || config.revision < (current?.revision ?? -1)) {
+            return false;
+        }
+        // A conductor of earlier software passes on the same revision without its organisations.
+        const addsOrganisations = current?.organisations === undefined && config.organisations !== undefined;
+        if (config.revision === current?.revision && !addsOrganisations) {
             return false;
         }
         this.routeTable = new RouteTable(config);
--- a/packages/rollout/src/lib/JobStore.test.ts
+++ b/packages/rollout/src/lib/JobStore.test.ts
@@ -10,6 +10,7 @@
     jobKeys,
     JobLog,
     type KeyRevision,
+    type OrganisationId,
     type TaskId,
     type WeightVersion,
 } from "@tamarackpath/core";
@@ -97,6 +98,29 @@
         expect(found.kind === "open" && found.job.tasks[0]!.body.length).to.equal(2_000_000);
     });
 
+    // Guards against an organisation that takes over the id of another one's job.
+    it("refuses a job under the id of another organisation's, whatever its size, also after its end", async () => {
+        for (const bytes of [10, 2_000_000]) {
+            const { jobs, soon } = fixture();
+            const own = { ...jobFixture(bytes), organisation: asId<OrganisationId>("a") };
+            const others = [{ ...own, organisation: asId<OrganisationId>("b") }, jobFixture(bytes)];
+            const keep = (job: Job): Promise<string> => jobs.keep(job, soon(), () => false);
+            expect(await keep(own)).to.equal("kept");
+            expect(await Promise.all(others.map(keep))).to.deep.equal(["other-owner", "other-owner"]);
+            expect(await keep(own)).to.equal("kept");
+            await jobs.end(own.id, 1, partsOf(own), own.organisation);
+            expect(await Promise.all(others.map(keep))).to.deep.equal(["other-owner", "other-owner"]);
+            expect(await keep(own)).to.equal("ended");
+        }
+    });
+
+    it("keeps a job that was stored without an organisation open to all", async () => {
+        const { jobs, soon } = fixture();
+        await jobs.keep(jobFixture(), soon(), () => false);
+        const again = { ...jobFixture(), organisation: asId<OrganisationId>("a") };
+        expect(await jobs.keep(again, soon(), () => false)).to.equal("kept-open-to-all");
+    });
+
     it("lists nothing under a claim that another host has taken", async () => {
         const { store, jobs } = fixture();
         const old = await claimFixture(store);
--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -15,6 +15,8 @@
     type JobId,
     type KeyValueFailure,
     type LeaseId,
+    type OperatorView,
+    type OrganisationId,
     type PeerHandler,
     type PeerNetwork,
     type PeerRequestName,
@@ -22,6 +24,7 @@
     type RateLimitStatement,
     type RewardCallId,
     type Route,
+    type RouteConfig,
     type RouteId,
     type RouteKind,
     type ServiceId,
@@ -71,6 +74,8 @@
     readonly id: string;
     /** The forwarded call, on the path "send". */
     readonly call: ForwardedCall | undefined;
+    /** The organisation that the target is told, with a call or a run. */
+    readonly organisation: OrganisationId | undefined;
     readonly entry: TargetEntryView;
     readonly at: Instant;
 }
@@ -107,6 +112,10 @@
     readonly behaviour: (target: TargetId, arrival: Arrival) => TargetBehaviour;
     /** How connections of a host to all targets fail at this time, if they do. */
     readonly cutOf?: (host: HostId) => TargetCut | undefined;
+    /** The configuration, each time that it is read; the default is a fixed one without organisations. */
+    readonly configOf?: (base: RouteConfig) => RouteConfig;
+    /** Whether a host cannot read the operators' and targets' documents at this time. */
+    readonly isStoreCut?: (host: HostId) => boolean;
     /** The store of an earlier fleet, whose hosts were all lost. */
     readonly store?: FleetStore;
 }
@@ -134,6 +143,7 @@
     readonly body?: string;
     readonly headers?: readonly string[];
     readonly caller?: string;
+    readonly organisation?: OrganisationId;
     readonly kind?: RouteKind;
     readonly timeoutMs?: number;
     readonly callerGone?: AbortSignal;
@@ -214,7 +224,16 @@
 /** Starts hosts that share a store and targets, and resolves once one of them conducts and all others follow it. */
 export async function startFleet(
     clock: Clock,
-    { hosts: size, targets, version, behaviour, cutOf, store = new FleetStore(clock) }: FleetOptions,
+    {
+        hosts: size,
+        targets,
+        version,
+        behaviour,
+        cutOf,
+        configOf = base => base,
+        isStoreCut = () => false,
+        store = new FleetStore(clock),
+    }: FleetOptions,
 ): Promise<Fleet> {
     const listed = (): readonly TargetEntryView[] => typeof targets === "function" ? targets() : targets;
     const isFirstStart = !store.hasBeenWritten;
@@ -263,10 +282,11 @@
         path: Arrival["path"],
         id: string,
         call?: ForwardedCall,
+        organisation = call?.organisation,
     ): Promise<TargetBehaviour> => {
         const sentAt = clock.now();
         await pause(1);
-        const arrival = { target: entry.target, path, host, id, call, entry, at: clock.now() };
+        const arrival = { target: entry.target, path, host, id, call, organisation, entry, at: clock.now() };
         arrivals.push(arrival);
         const does = behaviour(entry.target, arrival);
         await pause(does.ms / 2);
@@ -322,11 +342,13 @@
         })),
         limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     };
-    const operator = {
-        config,
+    const readOperator = (): OperatorView => ({
+        config: configOf(config),
         versions: version === undefined ? [] : [{ model: "m", version: version as WeightVersion }],
         retiring: [],
-    };
+    });
+    const unlessStoreCut = <Value>(host: HostId, read: () => Value): Either<KeyValueFailure, Value> =>
+        isStoreCut(host) ? Left({ applied: "no", detail: "cut" }) : Right(read());
     for (const self of ids) {
         const journal: Journal = {
             log: (event, fields = {}) => {
@@ -347,18 +369,18 @@
             {
                 store,
                 documents: {
-                    readOperator: async () => Right(operator),
+                    readOperator: async () => unlessStoreCut(self, readOperator),
                     awaitOperatorChange: async waitMs => {
                         await pause(waitMs / 4);
-                        return Right(operator);
+                        return unlessStoreCut(self, readOperator);
                     },
-                    readTargets: async () => Right(listed()),
+                    readTargets: async () => unlessStoreCut(self, listed),
                     confirmRetired: async () => Right(undefined),
                 },
                 engines: {
-                    run: async (entry, { task }, onEvent, signal) => {
+                    run: async (entry, { task, organisation }, onEvent, signal) => {
                         const run = async (): Promise<TaskRunOutcome> => {
-                            const { run: outcome } = await reach(self, entry, "run", task.id);
+                            const { run: outcome } = await reach(self, entry, "run", task.id, undefined, organisation);
                             onEvent({ id: 1, data: "text" }, 1 as WeightVersion);
                             return outcome ?? { kind: "completed" };
                         };
@@ -445,6 +467,7 @@
                 host: "h",
                 headers,
                 body: Buffer.from(body),
+                organisation: named.organisation,
                 takeUp: named.takeUp,
             };
             const handler = kind === "streaming"
