Prove how recent a host's configuration is

A host cannot tell from its view's age whether the operators' configuration is still the newest one, so a revoked credential could be accepted while the conductor or the host is cut off or paused.

Reads and watches of the operators' documents prove the time at which they began, if they brought the configuration in force. The conductor states the age of its proof with each answer to a pull; the follower counts it from the time at which it sent the pull. Hosts whose proof ages read the documents themselves at most once a second. The watch waits for 1 s where revocation is strict.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./lib/config/ConfigDifference.js";
 export * from "./lib/config/ConfigDocument.js";
 export * from "./lib/config/ConfigHistory.js";
+export * from "./lib/config/configProof.js";
 export * from "./lib/config/ConfigRegistry.js";
 export * from "./lib/config/parseConfigDocument.js";
 export * from "./lib/delivery/Attempt.js";
--- a/packages/rollout/src/lib/HostView.ts
+++ b/packages/rollout/src/lib/HostView.ts
@@ -72,6 +72,18 @@
         this.configProof = Math.max(provenAt, this.configProof ?? provenAt) as Instant;
     }
 
+    /**
+     * Applies a read or watch of the operators' documents that began at `startedAt` and brought all of them. It proves the
+     * configuration in force only if that is the one in the store: after a document that cannot be decoded, the older
+     * configuration stays in force and its proof ages.
+     */
+    applyOperatorRead(read: OperatorView, startedAt: Instant): void {
+        this.applyOperator(read, "store");
+        if (read.config !== undefined && read.config.revision === this.routeTable?.config.revision) {
+            this.recordConfigProof(startedAt);
+        }
+    }
+
     /** The operators' documents, as they are sent to other hosts. */
     get operator(): OperatorView {
         const versions = [...this.versions].map(([model, version]) => ({ model, version }));
--- a/packages/rollout/src/lib/PullResponder.ts
+++ b/packages/rollout/src/lib/PullResponder.ts
@@ -72,7 +72,7 @@
         const { have, haveLimits, haveCrashes } = held;
         this.followersByHost.set(from, { ...follower, at: this.clock.now(), sentView: undefined });
         await this.waitForChange(held);
-        const { revision, ageMs, operator } = view;
+        const { revision, ageMs, operator, configProvenAt } = view;
         const content = revision === have ? undefined : { operator, targets: view.directory.targets };
         const sentView = content === undefined ? undefined : revision;
         this.followersByHost.set(from, { ...follower, at: this.clock.now(), sentView });
@@ -81,6 +81,7 @@
             number: revision,
             ageMs: conductor.isSure ? ageMs : undefined,
             readAgeMs: view.readAgeMs,
+            configProofAgeMs: configProvenAt === undefined ? undefined : this.clock.now() - configProvenAt,
             content,
             limits: haveLimits === undefined
                 ? undefined
--- a/packages/rollout/src/lib/RolloutSettings.ts
+++ b/packages/rollout/src/lib/RolloutSettings.ts
@@ -38,6 +38,8 @@
     readonly hedgeShare: number;
     /** Time for which an ended job's results stay readable. */
     readonly keepResultsMs: number;
+    /** Time within which every host must refuse a revoked credential; undefined if that is not demanded. */
+    readonly revocationMs: number | undefined;
 }
 
 /** The default settings. */
@@ -55,4 +57,5 @@
     changeMs: 1050,
     hedgeShare: 0.45,
     keepResultsMs: 120_000,
+    revocationMs: undefined,
 };
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -6,13 +6,18 @@
 import {
     after,
     type Clock,
+    configOfAnswer,
+    type ConfigRevision,
+    configWatchWaitMs,
     type HostId,
     type Instant,
     type KeyRevision,
     type PeerNetwork,
     type PeerRequests,
     type PlatformDocuments,
+    provenByAnswer,
     type RelayHost,
+    shouldProveConfig,
     sleepUntil,
     type ZoneId,
 } from "@tamarackpath/core";
@@ -44,12 +49,6 @@
 /** Milliseconds within which a host must answer a request, in addition to the wait that the request allows. */
 const answerMarginMs = 600;
 
-/**
- * Milliseconds that one call of the watch of the operators' documents waits. It limits how long a change stays
- * undetected when the connection gets no answers.
- */
-const watchWaitMs = 2000;
-
 /** Milliseconds without an answer from outside the zone after which a host counts as cut off. */
 const cutOffDelayMs = 300;
 
@@ -80,6 +79,8 @@
     readonly number: number;
     readonly limits: number;
     readonly crashes: number;
+    /** Revision of the configuration that this view of that process has. */
+    readonly config: ConfigRevision | undefined;
 }
 
 /** Runs the loops of a host's view. */
@@ -92,6 +93,8 @@
     private readonly pulls: PullResponder;
     /** The view that was last pulled; undefined once this host has read the documents itself. */
     private lastPulledView: PulledView | undefined;
+    /** When this host's last own read of the operators' documents began. */
+    private operatorReadAt = -Infinity as Instant;
 
     constructor(
         private readonly options: ViewTaskOptions,
@@ -143,7 +146,8 @@
     }
 
     /**
-     * Reads the targets while this host conducts, and the targets and the operators' documents while its view is stale.
+     * Reads the targets while this host conducts, and the targets and the operators' documents while its view is stale. The
+     * operators' documents are also read when the proof of the configuration ages.
      */
     private async readWhenDue(): Promise<void> {
         const { pollMs, staleViewMs } = this.options.settings;
@@ -154,6 +158,9 @@
         else if (isStale) {
             await Promise.all([this.readOperator(), this.readTargets()]);
         }
+        else if (this.shouldProveConfig()) {
+            await this.readOperator();
+        }
         const delayMs = this.conductor.isConductor || isStale ? pollMs : staleCheckIntervalMs;
         await sleepUntil(this.clock, after(this.clock.now(), delayMs));
     }
@@ -164,15 +171,29 @@
             await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
             return;
         }
-        const seen = await this.documents.awaitOperatorChange(watchWaitMs);
-        seen.ifRight(read => this.view.applyOperator(read, "store"));
+        const startedAt = this.clock.now();
+        const seen = await this.documents.awaitOperatorChange(configWatchWaitMs(this.options.settings.revocationMs));
+        seen.ifRight(read => this.view.applyOperatorRead(read, startedAt));
         if (seen.isLeft()) {
             await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
         }
     }
 
+    private shouldProveConfig(): boolean {
+        const { revocationMs } = this.options.settings;
+        return revocationMs !== undefined && shouldProveConfig({
+            now: this.clock.now(),
+            provenAt: this.view.configProvenAt,
+            revocationMs,
+            hasConductorAnswered: this.hasConductorAnswered,
+            lastReadAt: this.operatorReadAt,
+        });
+    }
+
     private async readOperator(): Promise<void> {
-        (await this.documents.readOperator()).ifRight(read => this.view.applyOperator(read, "store"));
+        const startedAt = this.clock.now();
+        this.operatorReadAt = startedAt;
+        (await this.documents.readOperator()).ifRight(read => this.view.applyOperatorRead(read, startedAt));
     }
 
     private async readTargets(): Promise<void> {
@@ -266,8 +287,10 @@
         if (shared.fence !== undefined && !this.conductor.recordTerm(host, shared.fence)) {
             return false;
         }
+        const config = configOfAnswer(shared, last);
         this.lastPulledView = {
             host,
+            config,
             fence: shared.fence,
             hadContent: shared.content !== undefined,
             number: shared.number,
@@ -291,6 +314,10 @@
             this.view.applyOperator(shared.content.operator, "conductor");
             this.view.applyTargets(shared.content.targets, shared.ageMs, readStartedAt);
         }
+        const provenAt = provenByAnswer(pulledAt, shared.configProofAgeMs, config, this.view.routes?.config.revision);
+        if (provenAt !== undefined) {
+            this.view.recordConfigProof(provenAt);
+        }
         return true;
     }
 
--- /dev/null
+++ b/packages/rollout/src/lib/configProofs.test.ts
@@ -0,0 +1,323 @@
+/**
+ * Tests what hosts take for proof that their configuration is current, with view tasks on a simulated clock. Guards against
+ * hosts that accept a revoked credential because a message was late, a process was paused, or the conductor is cut off.
+ */
+
+import {
+    after,
+    asId,
+    type Clock,
+    type ConductorView,
+    type ConfigRevision,
+    type HostId,
+    type Instant,
+    type KeyRevision,
+    type OperatorView,
+    type PeerNetwork,
+    type PeerRequests,
+    type PlatformDocuments,
+    sleepUntil,
+    type ZoneId,
+} from "@tamarackpath/core";
+import { expect } from "chai";
+import * as fc from "fast-check";
+import { type Either, Left, Right } from "purify-ts";
+import { type ConductorTask } from "./ConductorTask.js";
+import { HostView } from "./HostView.js";
+import { noopJournal } from "./Journal.js";
+import { crashGuardFixture, permitsFixture, reachOptionsFixture } from "./permitsFixtures.test.js";
+import { defaultRolloutSettings } from "./RolloutSettings.js";
+import { createSteppingClock } from "./steppingClock.test.js";
+import { ViewTask } from "./ViewTask.js";
+
+type PullHandler = (
+    ask: PeerRequests["view-pull"]["ask"],
+    from: HostId,
+) => Promise<Either<unknown, ConductorView>>;
+
+const revocationMs = 5000;
+const conductorId = asId<HostId>("conductor");
+
+/** Faults and delays of a simulation. */
+interface Conditions {
+    /** Times at which a new configuration becomes the newest one, and whether it can be decoded. */
+    readonly changes: readonly { readonly at: number; readonly isReadable: boolean; }[];
+    /** Milliseconds of each way of a call or message, used in turn. */
+    readonly delays: readonly number[];
+    /** Periods in which a host neither acts nor reads; host 0 conducts. */
+    readonly pauses: readonly { readonly host: number; readonly from: number; readonly ms: number; }[];
+    readonly restarts: readonly number[];
+    /** Times from which a host is cut off from the store. */
+    readonly storeCuts: readonly { readonly host: number; readonly from: number; }[];
+    /** When the conductor ceases to answer. */
+    readonly silentFrom: number;
+    readonly isConductorOfEarlierSoftware: boolean;
+}
+
+const calm: Conditions = {
+    changes: [],
+    delays: [2],
+    pauses: [],
+    restarts: [],
+    storeCuts: [],
+    silentFrom: Infinity,
+    isConductorOfEarlierSoftware: false,
+};
+
+interface SimulatedHost {
+    readonly number: number;
+    readonly view: HostView;
+    readonly task: ViewTask;
+    /** What this host's clock is ahead of the simulation's. */
+    readonly offset: number;
+    readonly pull: PullHandler;
+}
+
+function operatorFixture(revision: number | undefined): OperatorView {
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    return {
+        config: revision === undefined
+            ? undefined
+            : { revision: revision as ConfigRevision, routes: [], services: [], limits },
+        versions: [],
+        retiring: [],
+    };
+}
+
+/** A conductor and two followers. */
+class Simulation {
+    readonly clock = createSteppingClock(0);
+    /** Reads of the operators' documents by each host. */
+    readonly reads = [0, 0, 0];
+    readonly hosts: SimulatedHost[];
+    private delayNumber = 0;
+    private fence = 1;
+
+    constructor(private readonly conditions: Conditions) {
+        this.hosts = [0, 1, 2].map(number => this.createHost(number));
+    }
+
+    /** Runs until `until`, and calls `check` every 20 ms. */
+    async run(until: number, check: (host: SimulatedHost, now: number) => void = () => undefined): Promise<void> {
+        const restarts = [...this.conditions.restarts].sort((a, b) => a - b);
+        while (this.clock.now() < until) {
+            await this.clock.advance(20);
+            if (restarts[0] !== undefined && restarts[0] <= this.clock.now()) {
+                restarts.shift();
+                this.hosts[0]!.task.stop();
+                this.fence++;
+                this.hosts[0] = this.createHost(0);
+            }
+            this.hosts.forEach(host => check(host, this.clock.now()));
+        }
+    }
+
+    stop(): void {
+        this.hosts.forEach(({ task }) => task.stop());
+    }
+
+    /** Time from which the configuration of `revision` is not the newest any more. */
+    supersededAt(revision: number): number {
+        return this.conditions.changes[revision]?.at ?? Infinity;
+    }
+
+    /** The proof of a host, by the simulation's clock. */
+    provenAt({ view, offset }: SimulatedHost): number {
+        return (view.configProvenAt ?? -Infinity) - offset;
+    }
+
+    /** Passes one way of a message or call of a host. */
+    private async way(host: number): Promise<void> {
+        const { delays } = this.conditions;
+        const ms = delays[this.delayNumber++ % delays.length]!;
+        await sleepUntil(this.clock, after(this.clock.now(), ms));
+        await this.awake(host);
+    }
+
+    private async awake(host: number): Promise<void> {
+        const now = this.clock.now();
+        const pause = this.conditions.pauses.find(each =>
+            each.host === host && each.from <= now && now < each.from + each.ms
+        );
+        if (pause !== undefined) {
+            await sleepUntil(this.clock, after(pause.from as Instant, pause.ms));
+        }
+    }
+
+    /** Revision of the newest document, counted from 0. */
+    private newest(): number {
+        return this.conditions.changes.filter(({ at }) => at <= this.clock.now()).length;
+    }
+
+    private documentsOf(number: number): PlatformDocuments {
+        let seen = -1;
+        const isCut = (): boolean =>
+            this.conditions.storeCuts.some(({ host, from }) => host === number && from <= this.clock.now());
+        const read = async (waitMs: number): Promise<Either<never, OperatorView>> => {
+            await this.way(number);
+            const until = this.clock.now() + waitMs;
+            while (this.newest() === seen && this.clock.now() < until) {
+                await sleepUntil(this.clock, after(this.clock.now(), 10));
+            }
+            const revision = this.newest();
+            const isReadable = revision === 0 || this.conditions.changes[revision - 1]!.isReadable;
+            await this.way(number);
+            if (isCut()) {
+                seen = -1;
+                return Left({ applied: "no", detail: "cut" } as never);
+            }
+            seen = revision;
+            return Right(operatorFixture(isReadable ? revision : undefined));
+        };
+        return {
+            readOperator: () => {
+                this.reads[number]!++;
+                return read(0);
+            },
+            awaitOperatorChange: (waitMs: number) => read(seen < 0 ? 0 : waitMs),
+            readTargets: async () => Right([]),
+        } as unknown as PlatformDocuments;
+    }
+
+    private createHost(number: number): SimulatedHost {
+        const offset = number * 1_000_000;
+        const clock: Clock = {
+            now: () => after(this.clock.now(), offset),
+            callAt: (at, run) => this.clock.callAt(after(at, -offset), () => void this.awake(number).then(run)),
+        };
+        const handlers = new Map<string, PullHandler>();
+        const peers = {
+            handle: (name: string, handler: PullHandler) => handlers.set(name, handler),
+            setAddress: () => undefined,
+            ask: async (unused: HostId, name: string, body: PeerRequests["view-pull"]["ask"]) => {
+                await this.way(0);
+                if (name !== "view-pull" || this.clock.now() >= this.conditions.silentFrom) {
+                    await sleepUntil(this.clock, after(this.clock.now(), 1000));
+                    return Left({ reason: "no-answer", detail: name });
+                }
+                const res = await this.hosts[0]!.pull(body, asId<HostId>(`follower-${number}`));
+                await this.way(number);
+                return Right(this.conditions.isConductorOfEarlierSoftware ? res.map(withoutProof) : res);
+            },
+        } as unknown as PeerNetwork;
+        const fence = this.fence as KeyRevision;
+        const isConductor = number === 0;
+        const conductor = {
+            conductor: conductorId,
+            isConductor,
+            isSure: isConductor,
+            term: { currentClaim: isConductor ? { fence } : undefined },
+            recordTerm: () => true,
+            adoptReportedConductor: () => undefined,
+            lookUpClaim: async () => true,
+        } as unknown as ConductorTask;
+        const view = new HostView(clock, noopJournal);
+        const task = new ViewTask(
+            {
+                settings: { ...defaultRolloutSettings, revocationMs },
+                seeds: [],
+                zone: asId<ZoneId>("z"),
+                hasCallers: true,
+                ...reachOptionsFixture,
+            },
+            view,
+            conductor,
+            permitsFixture(peers, clock),
+            crashGuardFixture(peers, clock),
+            this.documentsOf(number),
+            peers,
+            clock,
+            noopJournal,
+        );
+        task.start();
+        return { number, view, task, offset, pull: (...args) => handlers.get("view-pull")!(...args) };
+    }
+}
+
+/** What a host of earlier software answers. */
+function withoutProof({ number, ageMs, content, limits, crashes }: ConductorView): ConductorView {
+    return { number, ageMs, content, ...(limits && { limits }), ...(crashes && { crashes }) };
+}
+
+const instant = fc.integer({ min: 0, max: 9000 });
+const faulty: fc.Arbitrary<Conditions> = fc.record({
+    changes: fc.array(fc.record({ at: instant, isReadable: fc.boolean() }), { maxLength: 5 })
+        .map(changes => changes.sort((a, b) => a.at - b.at)),
+    delays: fc.array(fc.integer({ min: 1, max: 900 }), { minLength: 1, maxLength: 12 }),
+    pauses: fc.array(
+        fc.record({ host: fc.nat(2), from: instant, ms: fc.integer({ min: 50, max: 4000 }) }),
+        { maxLength: 3 },
+    ),
+    restarts: fc.array(instant, { maxLength: 3 }),
+    storeCuts: fc.array(fc.record({ host: fc.nat(2), from: instant }), { maxLength: 2 }),
+    silentFrom: fc.oneof(instant, fc.constant(Infinity)),
+    isConductorOfEarlierSoftware: fc.boolean(),
+});
+
+describe("The proof that a configuration is current", () => {
+    it("is never later than a time at which the store still held that configuration as the newest", async () => {
+        let proofs = 0;
+        const check = async (conditions: Conditions): Promise<void> => {
+            const simulation = new Simulation(conditions);
+            await simulation.run(10_000, host => {
+                const { routes, configProvenAt } = host.view;
+                proofs += configProvenAt === undefined ? 0 : 1;
+                if (configProvenAt !== undefined) {
+                    expect(simulation.provenAt(host)).to.be.at.most(simulation.supersededAt(routes!.config.revision));
+                }
+            });
+            simulation.stop();
+        };
+        await fc.assert(fc.asyncProperty(faulty, check), { numRuns: 25 });
+        expect(proofs).to.be.at.least(1000);
+    }).timeout(60_000);
+
+    it("stays young at all hosts without own reads while the conductor reads the documents", async () => {
+        const simulation = new Simulation(calm);
+        await simulation.run(3000);
+        const readsBefore = simulation.reads[1]! + simulation.reads[2]!;
+        let oldest = 0;
+        await simulation.run(20_000, (host, now) => {
+            oldest = Math.max(oldest, now - simulation.provenAt(host));
+        });
+        simulation.stop();
+        // The watch's second counts twice, and the pull's 800 ms as well; from 0.8 of the time on, hosts would read themselves.
+        expect(oldest).to.be.at.most(0.8 * revocationMs);
+        expect(simulation.reads[1]! + simulation.reads[2]!).to.equal(readsBefore);
+    });
+
+    it("ages at the followers of a conductor that is cut off from the store", async () => {
+        const storeCuts = [0, 1, 2].map(host => ({ host, from: 6000 }));
+        const simulation = new Simulation({ ...calm, storeCuts });
+        await simulation.run(16_000);
+        simulation.stop();
+        simulation.hosts.forEach(host => expect(simulation.provenAt(host)).to.be.at.most(6000));
+    });
+
+    it("is renewed by at most one read a second where the conductor is silent, cut off or of earlier software", async () => {
+        const silent: Conditions = { ...calm, silentFrom: 4000 };
+        const cutOff: Conditions = { ...calm, storeCuts: [{ host: 0, from: 4000 }] };
+        for (const conditions of [silent, cutOff, { ...calm, isConductorOfEarlierSoftware: true }]) {
+            const simulation = new Simulation(conditions);
+            let oldest = 0;
+            await simulation.run(4000);
+            const readsBefore = simulation.reads[1]!;
+            await simulation.run(16_000, (host, now) => {
+                oldest = Math.max(oldest, host.number === 0 ? 0 : now - simulation.provenAt(host));
+            });
+            simulation.stop();
+            expect(oldest).to.be.at.most(revocationMs - 500);
+            expect(simulation.reads[1]! - readsBefore).to.be.within(1, 13);
+        }
+    });
+
+    it("is not given by a document that cannot be decoded", async () => {
+        const simulation = new Simulation({ ...calm, changes: [{ at: 5000, isReadable: false }] });
+        await simulation.run(12_000);
+        simulation.stop();
+        simulation.hosts.forEach(host => {
+            expect(host.view.routes?.config.revision).to.equal(0);
+            expect(simulation.provenAt(host)).to.be.at.most(5000);
+        });
+    });
+});
