--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -56,6 +56,11 @@
     "stored-value-unreadable": "A value in the store cannot be decoded and is not used.",
     "history-recorded": "The conductor wrote to the store which software versions served when.",
     "software-checked": "A target was asked whether it has restarted, since a connection to it was lost.",
+    "usage-fixed": "The conductor fixed the counts of windows of use, which do not change any more.",
+    "usage-reported": "A window's use was reported to the platform.",
+    "usage-dropped": "Windows of use are not reported, because more of them are unreported than are kept.",
+    "usage-late": "A host's counts arrived after their window was fixed, and are not reported.",
+    "duty-call-failed": "The platform did not accept a call of the duty's holder.",
     "readiness-changed": "The host's readiness for callers changed.",
 } as const;
 
