--- a/packages/rollout/src/lib/RolloutSettings.ts
+++ b/packages/rollout/src/lib/RolloutSettings.ts
@@ -48,6 +48,8 @@
     readonly leavingNoticeMs: number;
     /** Time for which an ended job's results stay readable. */
     readonly keepResultsMs: number;
+    /** Time within which every host must refuse a revoked credential; undefined if that is not demanded. */
+    readonly revocationMs: number | undefined;
 }
 
 /** The default settings. */
@@ -67,4 +69,5 @@
     maxUnknownEndMs: 2400,
     leavingNoticeMs: 1500,
     keepResultsMs: 120_000,
+    revocationMs: undefined,
 };
