Let a conductor with callers hand over to a host without callers

Change: a conductor with callers steps down once a host without callers has followed for 2 s, at most once a minute, and pulls that wait at a host that gives the claim up are answered at once, so that the preferred hosts claim first. Tests: ConductorPreference (pure); a fleet in which the host without callers starts later (the claim stayed before: no code for it).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./lib/calls/RouteTable.js";
 export * from "./lib/calls/TargetSelector.js";
 export * from "./lib/capacity/Scaling.js";
+export * from "./lib/conduct/ConductorPreference.js";
 export * from "./lib/conduct/ConductorTerm.js";
 export { ModelShares } from "./lib/conduct/ModelShares.js";
 export * from "./lib/conduct/VersionPlan.js";
--- a/packages/rollout/src/lib/PullResponder.ts
+++ b/packages/rollout/src/lib/PullResponder.ts
@@ -125,11 +125,14 @@
             const off = this.view.events.on("changed", () => finish());
             const offLimits = this.permits.onChange(() => finish());
             const offCrashes = this.crashes.onChange(() => finish());
+            // All followers look for the next conductor at the same time, so that the preferred ones claim first.
+            const offLost = this.conductor.events.on("lost", () => finish());
             const cancel = this.clock.callAt(after(this.clock.now(), pullWaitMs), () => finish());
             const finish = (): void => {
                 off();
                 offLimits();
                 offCrashes();
+                offLost();
                 cancel();
                 resolve();
             };
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -5,6 +5,7 @@
     type CallTargets,
     type Clock,
     type ConductorHandover,
+    ConductorPreference,
     type HostId,
     type Instant,
     type Job,
@@ -108,6 +109,8 @@
     readonly reach: ReachTask;
     private readonly relays: RelayChoice;
     private isStopping = false;
+    private readonly preference = new ConductorPreference();
+    private termBeganAt = -Infinity as Instant;
 
     constructor(
         private readonly identity: RolloutIdentity,
@@ -221,6 +224,7 @@
                 reachesTargets: () => !this.reach.isCutOff,
                 relaysFor: (host, zoneOfHost) => {
                     void this.leaveJobsToOthers();
+                    void this.handOverToBetterHost();
                     return selectRelays(this.relaysKnownHere(host), zoneOfHost, random);
                 },
                 onRelays: hosts => this.relays.setHosts(hosts),
@@ -315,6 +319,23 @@
         }
     }
 
+    /** As conductor with callers, hands over to a host without callers that has followed for some time. */
+    private async handOverToBetterHost(): Promise<void> {
+        const { hasCallers } = this.identity;
+        if (!hasCallers || !this.conductor.isSure || this.isStopping) {
+            return;
+        }
+        const hasBetterFollower = this.viewTask.followers.some(each => !each.hasCallers && each.reachesTargets);
+        const now = this.ports.clock.now();
+        if (this.preference.shouldHandOver({ now, termBeganAt: this.termBeganAt, hasBetterFollower })) {
+            this.ports.journal.log("conductor-handed-over", {
+                fence: this.conductor.term.currentClaim?.fence,
+                followers: this.viewTask.followers.length,
+            });
+            await this.conductor.stepDown();
+        }
+    }
+
     /** True while this host reaches neither the store nor any host of another zone, and does not conduct. */
     get isCutOff(): boolean {
         return !this.ports.store.isReachable && !this.conductor.isConductor && this.viewTask.isCutOff;
@@ -439,6 +460,7 @@
     }
 
     private beginConducting(): void {
+        this.termBeganAt = this.ports.clock.now();
         this.registry.activate();
         this.versions.activate(this.runner);
         this.runner.activate();
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -26,6 +26,7 @@
     "conductor-claimed": "This host became the conductor.",
     "conductor-lost": "This host lost the conductor's claim.",
     "conductor-resigned": "This host resigned as conductor.",
+    "conductor-handed-over": "This host has callers and left the claim to hosts without callers that follow it.",
     "yield-refused": "A host with an outdated claim asked this host to stop its work as conductor.",
     "handover-taken": "A new conductor requested the previous conductor's results and texts.",
     "standby-passed": "This host passed its copies of results and texts to a new conductor.",
--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -120,6 +120,8 @@
     readonly isStoreCut?: (host: HostId) => boolean;
     /** The store of an earlier fleet, whose hosts were all lost. */
     readonly store?: FleetStore;
+    /** Number of hosts without callers, which start a second after the others. */
+    readonly lateHostsWithoutCallers?: number;
 }
 
 export interface Fleet {
@@ -235,6 +237,7 @@
         configOf = base => base,
         isStoreCut = () => false,
         store = new FleetStore(clock),
+        lateHostsWithoutCallers = 0,
     }: FleetOptions,
 ): Promise<Fleet> {
     const listed = (): readonly TargetEntryView[] => typeof targets === "function" ? targets() : targets;
@@ -369,7 +372,7 @@
                 name: self,
                 zone: asId<ZoneId>("z"),
                 seeds: ids.filter(id => id !== self),
-                hasCallers: true,
+                hasCallers: ids.indexOf(self) < size - lateHostsWithoutCallers,
                 isFirstStart,
             },
             defaultRolloutSettings,
@@ -436,7 +439,12 @@
     }
     const hosts = [...hostsById.values()];
     const conductor = (): RolloutHost | undefined => hosts.find(host => host.conductor.isConductor);
-    hosts.forEach(host => host.start());
+    const firstHosts = hosts.slice(0, size - lateHostsWithoutCallers);
+    firstHosts.forEach(host => host.start());
+    if (firstHosts.length < size) {
+        await pause(1500);
+        hosts.slice(firstHosts.length).forEach(host => host.start());
+    }
     const isReady = ({ view, conductor: { conductor: known } }: RolloutHost): boolean =>
         view.routes !== undefined && known !== undefined;
     while (conductor() === undefined || !hosts.every(isReady)) {
--- a/packages/rollout/src/lib/viewRevisions.test.ts
+++ b/packages/rollout/src/lib/viewRevisions.test.ts
@@ -17,8 +17,9 @@
     type ZoneId,
 } from "@tamarackpath/core";
 import { expect } from "chai";
+import Emittery from "emittery";
 import { type Either, Left, Right } from "purify-ts";
-import { type ConductorTask } from "./ConductorTask.js";
+import { type ConductorEvents, type ConductorTask } from "./ConductorTask.js";
 import { HostView } from "./HostView.js";
 import { noopJournal } from "./Journal.js";
 import { crashGuardFixture, permitsFixture, reachOptionsFixture } from "./permitsFixtures.test.js";
@@ -66,6 +67,7 @@
         ask,
     } as unknown as PeerNetwork;
     const conductor = {
+        events: new Emittery<ConductorEvents>(),
         conductor: conductorId,
         isConductor: fence !== undefined,
         isSure: fence !== undefined,
