--- a/packages/rollout/src/lib/JobCallHandler.ts
+++ b/packages/rollout/src/lib/JobCallHandler.ts
@@ -1,7 +1,8 @@
 /**
  * The job calls of one host: submit, read, body and end. They are sent to the conductor, which has the jobs in memory.
  * When the conductor cannot be reached or its claim may have lapsed, the store decides. A submission is refused only
- * when no write can have taken effect, and a job is reported as unknown only when the store does not hold it.
+ * when no write can have taken effect, and a job is reported as unknown only when the store does not hold it or another
+ * organisation submitted it.
  */
 
 import {
@@ -27,13 +28,13 @@
     type ResultPage,
     sleepUntil,
     type TaskId,
-    type TaskResult,
 } from "@tamarackpath/core";
 import { type Either, Left, Right } from "purify-ts";
 import { type ConductorTask } from "./ConductorTask.js";
 import { type JobRegistry } from "./JobRegistry.js";
-import { type JobStore, partsOf, type StoredJob, type StoreOutcome } from "./JobStore.js";
+import { type JobStore, type StoreOutcome } from "./JobStore.js";
 import { type Journal } from "./Journal.js";
+import { StoredJobCalls, unknownJob } from "./StoredJobCalls.js";
 
 /** Options of a job call handler. */
 export interface JobCallOptions {
@@ -50,18 +51,15 @@
 /** Milliseconds for which a submission waits for the conductor before it goes to the store directly. */
 const conductorSubmitTimeoutMs = 1500;
 
-/** Milliseconds that the store has to answer a read that the conductor could not answer for certain. */
-const storeReadTimeoutMs = 1500;
-
 /**
  * Milliseconds before the caller's deadline at which a submission stops retrying, so that the answer arrives in time.
  */
 const submitAnswerMarginMs = 150;
 
-const unknownJob: JobUnknown = { unknown: true };
-
 /** Answers job calls at one host. */
 export class JobCallHandler {
+    private readonly stored: StoredJobCalls;
+
     constructor(
         private readonly options: JobCallOptions,
         private readonly conductor: ConductorTask,
@@ -71,6 +69,7 @@
         private readonly clock: Clock,
         private readonly journal: Journal,
     ) {
+        this.stored = new StoredJobCalls(options, jobs, clock, journal);
         peers.handle("job-keep", submission => this.keepForPeer(submission));
         peers.handle("job-submit", async submission =>
             (await this.keepForPeer(submission)).map(({ outcome }) => ({
@@ -120,7 +119,7 @@
         if (page !== undefined && ("unknown" in page || page.isSure)) {
             return Right(page);
         }
-        const stored = await this.readFromStore(job, position, organisation);
+        const stored = await this.stored.read(job, position, organisation);
         // Listed results never change, so the conductor's page is a valid answer when the store does not answer.
         return page !== undefined && stored.isLeft() ? Right(page) : stored;
     }
@@ -133,16 +132,7 @@
         const res = this.conductor.isConductor
             ? this.bodyLocally(job, task, organisation)
             : await this.requestFromConductor("job-body", { job, task, organisation }, peerAnswerMarginMs);
-        if (res.isRight()) {
-            return res;
-        }
-        const found = await this.jobs.find(job);
-        return found.bimap(failure => problem("unavailable", failure.detail), stored => {
-            const known = stored.kind === "open" && mayAccessJob(stored.job.organisation, organisation)
-                ? stored.job.tasks.find(({ id }) => id === task)
-                : undefined;
-            return known === undefined ? unknownJob : { body: known.body };
-        });
+        return res.isRight() ? res : this.stored.body(job, task, organisation);
     }
 
     async end(
@@ -152,7 +142,7 @@
         const res = this.conductor.isConductor
             ? await this.endLocally(job, organisation)
             : await this.requestFromConductor("job-end", { job, organisation }, peerAnswerMarginMs);
-        return res.isRight() ? res : this.endInStore(job, organisation);
+        return res.isRight() ? res : this.stored.end(job, organisation);
     }
 
     private async submitToConductorOrStore(
@@ -272,53 +262,6 @@
         return hasEnded ? Right({ ended: true }) : Left(notConductor);
     }
 
-    private async readFromStore(
-        job: JobId,
-        position: number,
-        organisation: OrganisationId | undefined,
-    ): Promise<Either<Problem, ResultPage | JobUnknown>> {
-        const deadline = after(this.clock.now(), storeReadTimeoutMs);
-        const found = await this.jobs.find(job);
-        const chunks = found.isLeft() || this.clock.now() > deadline ? undefined : await this.jobs.results(job);
-        return found.bimap(failure => this.unsure(job, failure.detail), stored => stored).chain(stored => {
-            if (stored.kind === "absent" || !mayAccessJob(ownerOf(stored), organisation)) {
-                return Right(unknownJob);
-            }
-            const total = stored.kind === "open" ? stored.job.tasks.length : stored.ended.total;
-            return chunks === undefined
-                ? Left(this.unsure(job, "The store answers too slowly."))
-                : chunks.bimap(failure => this.unsure(job, failure.detail), known => {
-                    const listed: TaskResult[] = known.flatMap(chunk => [...chunk.results]);
-                    return { total, results: pageOf(listed, position, this.options.maxPageBytes) };
-                });
-        });
-    }
-
-    private async endInStore(
-        job: JobId,
-        organisation: OrganisationId | undefined,
-    ): Promise<Either<Problem, { readonly ended: true; } | JobUnknown>> {
-        const found = await this.jobs.find(job);
-        const stored = found.toMaybe().extract();
-        if (stored === undefined) {
-            return Left(problem("unavailable", "The store cannot be asked."));
-        }
-        if (stored.kind === "absent" || !mayAccessJob(ownerOf(stored), organisation)) {
-            return Right(unknownJob);
-        }
-        if (stored.kind === "ended") {
-            return Right({ ended: true });
-        }
-        const { job: open } = stored;
-        const res = await this.jobs.end(job, open.tasks.length, partsOf(open), open.organisation);
-        return res.bimap(failure => problem("unavailable", failure.detail), () => ({ ended: true }));
-    }
-
-    private unsure(job: JobId, detail: string): Problem {
-        this.journal.log("read-answered", { job, outcome: "unsure", detail });
-        return problem("unavailable", detail);
-    }
-
     private async requestFromConductor<Name extends PeerRequestName>(
         name: Name,
         ask: PeerRequests[Name]["ask"],
@@ -344,14 +287,6 @@
     }
 }
 
-function ownerOf(stored: StoredJob): OrganisationId | undefined {
-    return stored.kind === "open"
-        ? stored.job.organisation
-        : stored.kind === "ended"
-        ? stored.ended.organisation
-        : undefined;
-}
-
 function acceptedAs(outcome: StoreOutcome): JobAcceptance["outcome"] {
     return outcome === "kept-open-to-all" ? "kept" : outcome;
 }
