Count callers' requests by window and report them as the conductor

UsageTask carries out the steps of UsageReporter under the conductor's claim. Hosts count a request once when it began to run at a target, and send their counts with each pull of the view; a host that stops sends its last counts. A call whose connection opens after its time, as in a paused process, sends nothing.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -27,6 +27,7 @@
 export * from "./lib/delivery/StepState.js";
 export * from "./lib/delivery/versionSpans.js";
 export * from "./lib/directory/TargetDirectory.js";
+export * from "./lib/duties/runBegin.js";
 export * from "./lib/duties/UsageCounter.js";
 export * from "./lib/duties/UsageLedger.js";
 export * from "./lib/duties/UsageRecord.js";
--- a/packages/core/src/lib/duties/usageModel.test.ts
+++ b/packages/core/src/lib/duties/usageModel.test.ts
@@ -14,9 +14,9 @@
 import { decodeUsageRecord, encodeUsageRecord } from "./UsageRecord.js";
 import { UsageReporter } from "./UsageReporter.js";
 
-/** Number of interleavings and the seed that they are drawn from; runs by hand set USAGE_MODEL_RUNS and USAGE_MODEL_SEED. */
-const runs = Number(process.env["USAGE_MODEL_RUNS"] ?? 150);
-const seed = Number(process.env["USAGE_MODEL_SEED"] ?? 352);
+/** Number of interleavings and the seed that they are drawn from; runs by hand set TAMARACK_RUNS and TAMARACK_SEED. */
+const runs = Number(process.env["TAMARACK_RUNS"] ?? 150);
+const seed = Number(process.env["TAMARACK_SEED"] ?? 352);
 
 const windowMs = 5000;
 const stepMs = 100;
--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -6,6 +6,7 @@
 import { type Sample, type StepSpec } from "../delivery/StepSpec.js";
 import { type StepCounts } from "../delivery/StepState.js";
 import { type TargetEntryView } from "../directory/TargetDirectory.js";
+import { type HostUsage } from "../duties/UsageCounter.js";
 import {
     type AttemptId,
     type CallerId,
@@ -185,6 +186,8 @@
     readonly hosts?: number;
     /** Some hosts that reach targets, others each time. */
     readonly relays?: readonly RelayHost[];
+    /** The newest window of use that is fixed in the store; undefined if the conductor does not know or tell. */
+    readonly usageFixedTo?: number | undefined;
 }
 
 /** A task's result that is not listed yet: the write that appends it to the job's results is not confirmed. */
@@ -329,9 +332,13 @@
             readonly hasCallers: boolean;
             /** Whether the sender reaches targets; undefined at a host that does not tell. */
             readonly reachesTargets?: boolean;
+            /** The sender's counts of use; undefined at a host that does not count. */
+            readonly usage?: HostUsage | undefined;
         };
         readonly answer: ConductorView;
     };
+    /** Sends the last counts of use of a host that stops to the conductor. */
+    "usage-counts": { readonly ask: HostUsage; readonly answer: { readonly usageFixedTo?: number | undefined; }; };
     /** Reports the rate limits that targets stated to the sender. */
     "rate-limits": {
         readonly ask: { readonly reports: readonly RateLimitReport[]; };
--- a/packages/rollout/src/index.ts
+++ b/packages/rollout/src/index.ts
@@ -7,3 +7,4 @@
 export { permitOutcomes } from "./lib/RequestPermits.js";
 export * from "./lib/RolloutHost.js";
 export * from "./lib/RolloutSettings.js";
+export { usageOutcomes } from "./lib/UsageTask.js";
--- a/packages/rollout/src/lib/CallForwarder.ts
+++ b/packages/rollout/src/lib/CallForwarder.ts
@@ -22,6 +22,7 @@
     TargetSelector,
     type ZoneId,
 } from "@tamarackpath/core";
+import { AttemptRun, type RunCounter } from "./AttemptRun.js";
 import { type CallAnswer, refusalRetryAfterMs, refusedWith } from "./CallAnswer.js";
 import { CallExecution } from "./CallExecution.js";
 import { type CrashGuard } from "./CrashGuard.js";
@@ -79,6 +80,7 @@
         private readonly random: () => number,
         private readonly clock: Clock,
         private readonly journal: Journal,
+        private readonly runs?: RunCounter,
     ) {
         this.targetSelector = new TargetSelector(zone);
     }
@@ -257,6 +259,7 @@
         const startedAt = this.now();
         const software = this.view.software.of(target);
         const limitAtStart = this.permits.describe(target);
+        const run = new AttemptRun(this.runs, call);
         this.targetSelector.recordStart(target.target);
         const end = await this.targets.send(
             target,
@@ -266,10 +269,12 @@
                 permit,
                 maxConnections: this.view.routes?.service(target.service)?.maxConnections ?? 1,
                 shouldUseNewConnection: route.kind === "non-idempotent",
-                streamHandler: this.recordingHandler(streamHandler, route, call, target, software),
+                streamHandler: run.observe(this.recordingHandler(streamHandler, route, call, target, software)),
+                onSent: run.recordSent,
             },
             signal,
         );
+        run.recordEnd(end);
         this.recordEnd(target, end, this.now() - startedAt);
         this.crashes.recordEnd(target, call, end, startedAt);
         this.journal.log("call-attempt", {
--- a/packages/rollout/src/lib/PullResponder.ts
+++ b/packages/rollout/src/lib/PullResponder.ts
@@ -20,6 +20,7 @@
 import { type HostView } from "./HostView.js";
 import { type RequestPermits } from "./RequestPermits.js";
 import { type Follower } from "./StandbyTask.js";
+import { type UsageTask } from "./UsageTask.js";
 
 /** Milliseconds that a pull waits at the conductor for a change. */
 export const pullWaitMs = 800;
@@ -50,6 +51,7 @@
         private readonly permits: RequestPermits,
         private readonly crashes: CrashGuard,
         private readonly clock: Clock,
+        private readonly usage?: UsageTask,
     ) {}
 
     /** Hosts that pulled this host's view within `followerTtlMs`. */
@@ -70,6 +72,9 @@
         const follower = { host: from, zone, hasCallers, reachesTargets: ask.reachesTargets === true };
         const held = this.heldRevisions(ask, this.followersByHost.get(from));
         const { have, haveLimits, haveCrashes } = held;
+        if (ask.usage !== undefined && conductor.isConductor) {
+            this.usage?.adoptCounts(from, ask.usage);
+        }
         this.followersByHost.set(from, { ...follower, at: this.clock.now(), sentView: undefined });
         await this.waitForChange(held);
         const { revision, ageMs, operator, configProvenAt } = view;
@@ -91,6 +96,7 @@
                 : { number: crashes.revision, reports: crashes.changesSince(haveCrashes) },
             hosts: this.followers.length + 1,
             relays: this.relaysFor(from, zone),
+            usageFixedTo: this.usage?.fixedTo,
         });
     }
 
--- a/packages/rollout/src/lib/RelayedTargets.ts
+++ b/packages/rollout/src/lib/RelayedTargets.ts
@@ -128,6 +128,7 @@
         });
         const onSent = (): void => {
             isSent = true;
+            options.onSent?.();
         };
         try {
             const end = await this.direct.send(target, call, { ...options, onSent }, stop.signal);
@@ -162,6 +163,7 @@
             }
             tried.add(host);
             const startedAt = this.clock.now();
+            options.onSent?.();
             const end = await this.relayThrough(host, target, call, options, signal);
             this.journal.log("call-relayed", {
                 call: call.id,
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -5,6 +5,7 @@
     type CallTargets,
     type Clock,
     type ConductorHandover,
+    type DutyPlatform,
     type HostId,
     type Instant,
     type Job,
@@ -43,6 +44,7 @@
 import { SoftwareCheck } from "./SoftwareCheck.js";
 import { StandbyTask } from "./StandbyTask.js";
 import { StreamOrigins } from "./StreamOrigins.js";
+import { UsageTask } from "./UsageTask.js";
 import { VersionTask } from "./VersionTask.js";
 import { ViewTask } from "./ViewTask.js";
 
@@ -56,6 +58,10 @@
     readonly clock: Clock;
     readonly random: () => number;
     readonly journal: Journal;
+    /** The platform's calls that one host makes at a time; undefined where the settings have none. */
+    readonly duties?: DutyPlatform | undefined;
+    /** Unix milliseconds; the process's own time of day by default. */
+    readonly timeOfDay?: () => number;
 }
 
 /** Identity of a host. */
@@ -106,6 +112,8 @@
     readonly streams: StreamOrigins;
     readonly targets: RelayedTargets;
     readonly reach: ReachTask;
+    /** Undefined where use is not reported. */
+    readonly usage: UsageTask | undefined;
     private readonly relays: RelayChoice;
     private isStopping = false;
 
@@ -149,6 +157,7 @@
         );
         this.permits = new RequestPermits(this.conductor, peers, clock, journal);
         this.crashes = new CrashGuard(this.conductor, peers, clock, journal);
+        this.usage = this.createUsageTask(settings);
         const jobs = new JobStore(store, clock);
         this.scheduler = new JobScheduler(() => Math.floor(random() * Number.MAX_SAFE_INTEGER));
         this.registry = new JobRegistry(
@@ -224,6 +233,7 @@
                     return selectRelays(this.relaysKnownHere(host), zoneOfHost, random);
                 },
                 onRelays: hosts => this.relays.setHosts(hosts),
+                usage: this.usage,
             },
             this.view,
             this.conductor,
@@ -268,6 +278,7 @@
             random,
             clock,
             journal,
+            this.usage,
         );
         this.conductor.events.on("claimed", () => this.beginConducting());
         // This host may regain a lapsed claim, so its jobs continue until another host is known to hold the claim.
@@ -339,6 +350,11 @@
         this.endConducting();
     }
 
+    /** Sends what the conductor needs of this host before its process ends; takes at most half a second. */
+    async sendLastCounts(): Promise<void> {
+        await this.usage?.sendLastCounts();
+    }
+
     stop(): void {
         this.viewTask.stop();
         this.streams.stop();
@@ -437,9 +453,11 @@
         this.rewards.activate();
         this.standby.activate();
         this.watch.activate();
+        this.usage?.activate();
     }
 
     private endConducting(): void {
+        this.usage?.deactivate();
         this.watch.deactivate();
         this.standby.deactivate();
         this.rewards.deactivate();
@@ -448,6 +466,17 @@
         this.registry.deactivate();
     }
 
+    private createUsageTask({ duties }: RolloutSettings): UsageTask | undefined {
+        const { store, peers, clock, journal, duties: platform, timeOfDay = Date.now } = this.ports;
+        const { self, name } = this.identity;
+        if (duties === undefined || !duties.reportsUsage || platform === undefined) {
+            return undefined;
+        }
+        const { usageWindowMs: windowMs, maxCallsPerSecond } = duties;
+        const options = { self, name, windowMs, maxCallsPerSecond, timeOfDay };
+        return new UsageTask(options, this.conductor, store, platform, peers, clock, journal);
+    }
+
     private termsOf(job: Job): JobTerms | undefined {
         const route = this.view.routes?.find(job.host, job.path);
         const service = route?.services[0]?.service;
--- a/packages/rollout/src/lib/RolloutSettings.ts
+++ b/packages/rollout/src/lib/RolloutSettings.ts
@@ -1,5 +1,15 @@
 /** Settings of the rollout tasks, with their defaults. Durations are in milliseconds. */
 
+/** Which calls to the platform one host makes at a time. */
+export interface RolloutDuties {
+    readonly reportsUsage: boolean;
+    readonly ordersCapacity: boolean;
+    /** Length of a window of the reports of use. */
+    readonly usageWindowMs: number;
+    /** Upper limit of the calls per second of all hosts together. */
+    readonly maxCallsPerSecond: number;
+}
+
 /** Settings of the rollout tasks. */
 export interface RolloutSettings {
     /**
@@ -40,6 +50,8 @@
     readonly keepResultsMs: number;
     /** Time within which every host must refuse a revoked credential; undefined if that is not demanded. */
     readonly revocationMs: number | undefined;
+    /** Undefined if there are no such calls. */
+    readonly duties: RolloutDuties | undefined;
 }
 
 /** The default settings. */
@@ -58,4 +70,5 @@
     hedgeShare: 0.45,
     keepResultsMs: 120_000,
     revocationMs: undefined,
+    duties: undefined,
 };
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -31,6 +31,7 @@
 import { type RequestPermits } from "./RequestPermits.js";
 import { type RolloutSettings } from "./RolloutSettings.js";
 import { type Follower } from "./StandbyTask.js";
+import { type UsageTask } from "./UsageTask.js";
 
 /** Options of a view task. */
 export interface ViewTaskOptions {
@@ -44,6 +45,8 @@
     readonly relaysFor: (host: HostId, zone: ZoneId) => readonly RelayHost[];
     /** Receives the hosts that reach targets, as the conductor tells. */
     readonly onRelays: (relays: readonly RelayHost[]) => void;
+    /** Undefined where use is not reported. */
+    readonly usage?: UsageTask | undefined;
 }
 
 /** Milliseconds within which a host must answer a request, in addition to the wait that the request allows. */
@@ -107,7 +110,7 @@
         private readonly clock: Clock,
         private readonly journal: Journal,
     ) {
-        this.pulls = new PullResponder(options.relaysFor, view, conductor, permits, crashes, clock);
+        this.pulls = new PullResponder(options.relaysFor, view, conductor, permits, crashes, clock, options.usage);
         peers.handle("view-pull", (ask, from) => this.pulls.answer(ask, from));
         peers.handle("conductor-ask", async () => {
             const { zone } = options;
@@ -276,6 +279,7 @@
             zone,
             hasCallers,
             reachesTargets: this.options.reachesTargets(),
+            usage: this.options.usage?.report(),
         };
         const pulledAt = this.clock.now();
         const deadline = after(pulledAt, pullWaitMs + answerMarginMs);
@@ -297,6 +301,7 @@
             limits: shared.limits?.number ?? -1,
             crashes: shared.crashes?.number ?? -1,
         };
+        this.options.usage?.adoptFixed(shared.usageFixedTo);
         this.crashes.adoptReports(shared.crashes?.reports ?? []);
         this.permits.adoptReports(shared.limits?.reports ?? []);
         if (shared.relays !== undefined) {
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -60,6 +60,7 @@
     "usage-reported": "A window's use was reported to the platform.",
     "usage-dropped": "Windows of use are not reported, because more of them are unreported than are kept.",
     "usage-late": "A host's counts arrived after their window was fixed, and are not reported.",
+    "usage-unsent": "This host stops before the conductor has its last counts of use.",
     "duty-call-failed": "The platform did not accept a call of the duty's holder.",
     "readiness-changed": "The host's readiness for callers changed.",
 } as const;
