--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -15,6 +15,7 @@
     type JobId,
     type KeyValueFailure,
     type LeaseId,
+    type OrganisationId,
     type PeerHandler,
     type PeerNetwork,
     type PeerRequestName,
@@ -40,8 +41,8 @@
 import { type CallAnswer } from "./CallAnswer.js";
 import { type Journal, type JournalValue, noopJournal } from "./Journal.js";
 import { MemoryTransactionalStore } from "./MemoryStore.test.js";
-import { RolloutHost } from "./RolloutHost.js";
-import { defaultRolloutSettings } from "./RolloutSettings.js";
+import { RolloutHost, type RolloutPorts } from "./RolloutHost.js";
+import { defaultRolloutSettings, type RolloutSettings } from "./RolloutSettings.js";
 
 /** A store whose leases run on the fleet's clock, and whose watches wait. */
 export class FleetStore extends MemoryTransactionalStore {
@@ -109,6 +110,9 @@
     readonly cutOf?: (host: HostId) => TargetCut | undefined;
     /** The store of an earlier fleet, whose hosts were all lost. */
     readonly store?: FleetStore;
+    readonly settings?: Partial<RolloutSettings>;
+    /** Ports beside those of the fleet. */
+    readonly ports?: Pick<RolloutPorts, "duties" | "timeOfDay">;
 }
 
 export interface Fleet {
@@ -139,6 +143,7 @@
     readonly callerGone?: AbortSignal;
     readonly id?: string;
     readonly takeUp?: StreamTakeUp;
+    readonly organisation?: OrganisationId;
 }
 
 export const plainService = asId<ServiceId>("plain");
@@ -214,7 +219,7 @@
 /** Starts hosts that share a store and targets, and resolves once one of them conducts and all others follow it. */
 export async function startFleet(
     clock: Clock,
-    { hosts: size, targets, version, behaviour, cutOf, store = new FleetStore(clock) }: FleetOptions,
+    { hosts: size, targets, version, behaviour, cutOf, store = new FleetStore(clock), settings, ports }: FleetOptions,
 ): Promise<Fleet> {
     const listed = (): readonly TargetEntryView[] => typeof targets === "function" ? targets() : targets;
     const isFirstStart = !store.hasBeenWritten;
@@ -343,8 +348,9 @@
                 hasCallers: true,
                 isFirstStart,
             },
-            defaultRolloutSettings,
+            { ...defaultRolloutSettings, ...settings },
             {
+                ...ports,
                 store,
                 documents: {
                     readOperator: async () => Right(operator),
@@ -388,6 +394,7 @@
                             const { call: outcome, breaksOff } = await reach(self, entry, "send", call.id, call);
                             if (streamHandler !== undefined && outcome === undefined) {
                                 streamHandler.onHead({ status: 200, signature: "s", headers: [] });
+                                await streamHandler.onChunk(new Uint8Array([1]));
                                 return breaksOff === true
                                     ? { kind: "unknown", detail: "reset", isConnectionLost: true }
                                     : { kind: "streamed" };
@@ -446,6 +453,7 @@
                 headers,
                 body: Buffer.from(body),
                 takeUp: named.takeUp,
+                organisation: named.organisation,
             };
             const handler = kind === "streaming"
                 ? { onHead: () => undefined, onChunk: async () => undefined }
