Check in the model that each fixed window has what its conductor got

The model did not notice when the counts of a host's earlier process were merged with those of its present one.

--- a/packages/core/src/lib/duties/usageModel.test.ts
+++ b/packages/core/src/lib/duties/usageModel.test.ts
@@ -71,6 +71,8 @@
     /** True counts by window, process and organisation. */
     readonly truth = new Map<number, Map<ModelHost, Map<OrganisationId, number>>>();
     readonly hosts: ModelHost[];
+    /** The highest counts that each conductor got, by its process, the counting process, window and organisation. */
+    private readonly delivered = new Map<ModelHost, Map<ModelHost, Map<string, number>>>();
     private readonly random: () => number;
     private now = startedAt;
     private record: { readonly value: Uint8Array | undefined; readonly revision: number; } = {
@@ -218,13 +220,35 @@
         if (!conductor.isAlive || conductor.pausedUntil > this.now || conductor.term === undefined) {
             return;
         }
-        conductor.ledger.adopt(host.name, usage, this.now);
+        this.adopt(conductor, host, usage);
         const { fixedTo } = conductor.term.reporter;
         if (fixedTo !== undefined && !this.chance(this.faults.loss)) {
             host.counter.recordFixed(fixedTo);
         }
     }
 
+    private adopt(conductor: ModelHost, host: ModelHost, usage: HostUsage): void {
+        conductor.ledger.adopt(host.name, usage, this.now);
+        const processes = this.delivered.get(conductor) ?? new Map<ModelHost, Map<string, number>>();
+        const counts = processes.get(host) ?? new Map<string, number>();
+        for (const { window, counts: each } of usage.windows) {
+            each.forEach(([name, requests]) =>
+                counts.set(`${window} ${name}`, Math.max(requests, counts.get(`${window} ${name}`) ?? 0))
+            );
+        }
+        this.delivered.set(conductor, processes.set(host, counts));
+    }
+
+    /** Checks that a conductor fixes what it got from all processes, those that are lost included. */
+    private checkFixed(conductor: ModelHost, { window, counts }: UsageReport): void {
+        const processes = [...this.delivered.get(conductor)?.values() ?? []];
+        for (const name of organisations) {
+            const sum = processes.reduce((total, each) => total + (each.get(`${window} ${name}`) ?? 0), 0);
+            const fixed = Object.entries(counts).find(([each]) => each === name)?.[1] ?? 0;
+            expect(fixed, `window ${window} of ${name}`).to.equal(sum);
+        }
+    }
+
     /** Carries out a step of a host that regards itself as the conductor, as the task does. */
     private conduct(host: ModelHost): void {
         const { term } = host;
@@ -248,7 +272,7 @@
         const later = (apply: () => void): void => {
             term.pending = { at: this.now + this.random() * 400, apply };
         };
-        host.ledger.adopt(host.name, host.counter.report(this.now), this.now);
+        this.adopt(host, host, host.counter.report(this.now));
         const step = reporter.next(this.now as Instant, this.now);
         if (step.kind === "read") {
             if (this.chance(this.faults.write)) {
@@ -260,6 +284,7 @@
             later(() => reporter.recordRead(read, revision as KeyRevision));
         }
         else if (step.kind === "write") {
+            step.fixed.forEach(report => this.checkFixed(host, report));
             const write = (): boolean => {
                 if (this.claim.fence !== term.fence || this.record.revision !== step.revision) {
                     return false;
