--- a/packages/core/src/lib/duties/UsageLedger.ts
+++ b/packages/core/src/lib/duties/UsageLedger.ts
@@ -12,6 +12,9 @@
 /** Windows after the present one for which counts are accepted; hosts' clocks differ. */
 const maxWindowsAhead = 2;
 
+/** Upper limit of the windows with counts, while the store is away and none is fixed; as many are reported afterwards. */
+const maxWindows = 60;
+
 type Counts = Map<OrganisationId, number>;
 
 /** Sums the counts of hosts. */
@@ -44,10 +47,11 @@
             if (window <= this.newestFixed) {
                 late += this.recordLate(window, process, counts);
             }
-            else if (window <= newest) {
+            else if (window <= newest && window > newest - maxWindows) {
                 this.merge(window, process, counts);
             }
         }
+        this.forgetBefore(newest - maxWindows);
         return late;
     }
 
@@ -81,7 +85,12 @@
         }
         const oldest = this.newestFixed - keptFixedWindows;
         [...this.fixedTotals.keys()].filter(each => each < oldest).forEach(each => this.fixedTotals.delete(each));
-        [...this.presentWindows].filter(([, present]) => present < oldest)
+    }
+
+    /** Drops the windows up to `window`, and the processes that were last heard then. */
+    private forgetBefore(window: number): void {
+        [...this.windows.keys()].filter(each => each <= window).forEach(each => this.windows.delete(each));
+        [...this.presentWindows].filter(([, present]) => present <= window)
             .forEach(([process]) => this.presentWindows.delete(process));
     }
 
--- /dev/null
+++ b/packages/core/src/lib/duties/UsageRecord.test.ts
@@ -0,0 +1,63 @@
+/** Tests the stored record of use between builds, and the bounds of what is kept while nothing can be fixed or reported. */
+
+import { expect } from "chai";
+import { asId, type Instant, type KeyRevision, type OrganisationId } from "../ids.js";
+import { UsageCounter } from "./UsageCounter.js";
+import { UsageLedger } from "./UsageLedger.js";
+import { decodeUsageRecord, encodeUsageRecord, fixWindows } from "./UsageRecord.js";
+import { UsageReporter } from "./UsageReporter.js";
+
+const windowMs = 5000;
+const organisation = asId<OrganisationId>("a");
+
+function stored(value: unknown): Uint8Array {
+    return new TextEncoder().encode(JSON.stringify(value));
+}
+
+describe("The record of use", () => {
+    // Guards against an earlier build that drops what a later one needs while both run.
+    it("keeps the fields of later builds, of the record and of each window", () => {
+        const later = { fixedTo: 7, unreported: [{ window: 7, counts: { a: 2 }, kind: "x" }], format: { of: "later" } };
+        const read = decodeUsageRecord(stored(later)).unsafeCoerce();
+        const { record } = fixWindows(read, [{ window: 8, counts: {} }], new Set());
+        expect(decodeUsageRecord(encodeUsageRecord(record)).unsafeCoerce()).to.deep.equal({
+            ...later,
+            fixedTo: 8,
+            unreported: [...later.unreported, { window: 8, counts: {} }],
+        });
+    });
+
+    it("is read by what it needs alone, and refused without that", () => {
+        expect(decodeUsageRecord(stored({ fixedTo: 7, unreported: [] })).isRight()).to.equal(true);
+        for (const value of [{}, { fixedTo: 7.5, unreported: [] }, { fixedTo: 7, unreported: [{ window: 7 }] }, null]) {
+            expect(decodeUsageRecord(stored(value)).isLeft()).to.equal(true);
+        }
+        expect(decodeUsageRecord(new Uint8Array([255])).isLeft()).to.equal(true);
+    });
+
+    it("that cannot be read lets no window be reported that may be fixed in it", () => {
+        const ledger = new UsageLedger(windowMs);
+        const reporter = new UsageReporter(ledger, windowMs, 20, 0 as Instant, 100 * windowMs);
+        reporter.recordUnreadable(4 as KeyRevision, 100 * windowMs);
+        expect(reporter.next(10_000 as Instant, 101 * windowMs + 4000).kind).to.equal("wait");
+        const step = reporter.next(20_000 as Instant, 102 * windowMs + 4000);
+        expect(step.kind === "write" && step.fixed.map(({ window }) => window)).to.deep.equal([101]);
+    });
+
+    it("follows windows of a store that was away, of which the newest 60 are kept at hosts and at the conductor", () => {
+        const counter = new UsageCounter(1, windowMs);
+        const ledger = new UsageLedger(windowMs);
+        for (let window = 100; window < 300; window++) {
+            counter.record(organisation, window * windowMs);
+            ledger.adopt("h", counter.report(window * windowMs), window * windowMs);
+        }
+        expect(counter.report(300 * windowMs).windows.length).to.equal(60);
+        expect(counter.lateCount).to.equal(140);
+        expect(ledger.oldestWindow).to.be.at.least(240);
+        const reporter = new UsageReporter(ledger, windowMs, 20, 0 as Instant, 300 * windowMs);
+        reporter.recordRead({ fixedTo: 99, unreported: [] }, 4 as KeyRevision);
+        const step = reporter.next(10_000 as Instant, 300 * windowMs + 4000);
+        expect(step.kind === "write" && [step.fixed.length, step.dropped, step.record.fixedTo])
+            .to.deep.equal([60, 140, 299]);
+    });
+});
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -393,6 +393,11 @@
                 scoring: scoring.size,
                 listed: log.listed.length,
             })),
+            usage: this.usage === undefined ? undefined : {
+                ...this.usage.report(),
+                fixedTo: this.usage.fixedTo,
+                unreportedAgeMs: this.usage.unreportedAgeMs,
+            },
             peers: this.ports.peers.describe(),
         };
     }
