--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -43,8 +43,8 @@
 import { type CallAnswer } from "./CallAnswer.js";
 import { type Journal, type JournalValue, noopJournal } from "./Journal.js";
 import { MemoryTransactionalStore } from "./MemoryStore.test.js";
-import { RolloutHost } from "./RolloutHost.js";
-import { defaultRolloutSettings } from "./RolloutSettings.js";
+import { RolloutHost, type RolloutPorts } from "./RolloutHost.js";
+import { defaultRolloutSettings, type RolloutSettings } from "./RolloutSettings.js";
 
 /** A store whose leases run on the fleet's clock, and whose watches wait. */
 export class FleetStore extends MemoryTransactionalStore {
@@ -122,6 +122,9 @@
     readonly store?: FleetStore;
     /** Number of hosts without callers, which start a second after the others. */
     readonly lateHostsWithoutCallers?: number;
+    readonly settings?: Partial<RolloutSettings>;
+    /** Ports beside those of the fleet. */
+    readonly ports?: Pick<RolloutPorts, "duties" | "timeOfDay">;
 }
 
 export interface Fleet {
@@ -238,6 +241,8 @@
         isStoreCut = () => false,
         store = new FleetStore(clock),
         lateHostsWithoutCallers = 0,
+        settings,
+        ports,
     }: FleetOptions,
 ): Promise<Fleet> {
     const listed = (): readonly TargetEntryView[] => typeof targets === "function" ? targets() : targets;
@@ -375,8 +380,9 @@
                 hasCallers: ids.indexOf(self) < size - lateHostsWithoutCallers,
                 isFirstStart,
             },
-            defaultRolloutSettings,
+            { ...defaultRolloutSettings, ...settings },
             {
+                ...ports,
                 store,
                 documents: {
                     readOperator: async () => unlessStoreCut(self, readOperator),
@@ -420,6 +426,7 @@
                             const { call: outcome, breaksOff } = await reach(self, entry, "send", call.id, call);
                             if (streamHandler !== undefined && outcome === undefined) {
                                 streamHandler.onHead({ status: 200, signature: "s", headers: [] });
+                                await streamHandler.onChunk(new Uint8Array([1]));
                                 return breaksOff === true
                                     ? { kind: "unknown", detail: "reset", isConnectionLost: true }
                                     : { kind: "streamed" };
