Plan the engines of a service by demand, safety and price

Cause: services with scaling pay for each engine by the second, and zones lose all their reclaimable engines at once. Change: a pure planner in core (demand forecast, loss of a zone, cheapest mix, give-backs), the stored record and the book of sent orders; nothing uses it yet.

--- /dev/null
+++ b/packages/core/src/lib/capacity/CapacityPlanner.test.ts
@@ -0,0 +1,211 @@
+/** Tests of the orders of engines under the loads that they are made for, and of rules that hold under any. */
+
+import { expect } from "chai";
+import fc from "fast-check";
+import {
+    CapacitySimulation,
+    instant,
+    scalingFixture,
+    slotsPerEngine,
+    withOrders,
+    zoneOf,
+} from "./capacityFixtures.test.js";
+import { type CapacityInput, type PlannedOrder } from "./CapacityInput.js";
+import { planCapacity } from "./CapacityPlanner.js";
+import { type EngineGroup } from "./EngineGroup.js";
+
+/** 125 tasks of 1 s of a slot every 4 s from each of four trainers: 125 slots, or 15.6 engines. */
+const usualTasks = (): number => 125;
+
+function lateSteps(simulation: CapacitySimulation): number {
+    return simulation.lateness.filter(ms => ms > 0).length;
+}
+
+/** Number of times that each zone and kind has changed. */
+function changesByGroup(orders: readonly PlannedOrder[]): readonly number[] {
+    const counts = new Map<string, number>();
+    orders.forEach(({ zone, kind }) => counts.set(`${zone} ${kind}`, (counts.get(`${zone} ${kind}`) ?? 0) + 1));
+    return [...counts.values()];
+}
+
+describe("planCapacity", () => {
+    // Guards against orders that follow the rise and fall of each step, and against paying for standing engines only.
+    it("serves four trainers in time, replaces most standing engines by cheaper ones, and then keeps still", () => {
+        const simulation = new CapacitySimulation({ standing: 8, tasksAt: usualTasks });
+        simulation.run(60_000);
+        const costOfFirst = simulation.cost;
+        simulation.run(120_000);
+        expect(lateSteps(simulation)).to.equal(0);
+        expect(simulation.cost - costOfFirst, "price of the second minute").to.be.below(60 * 12);
+        expect(Math.max(0, ...changesByGroup(simulation.accepted(60_000)))).to.be.at.most(1);
+        const survivors = simulation.count()
+            - Math.max(...[0, 1, 2, 3].map(nth => simulation.count("reclaimable", zoneOf(nth))));
+        expect(survivors * slotsPerEngine).to.be.above(125);
+    });
+
+    // Guards against late steps when engines leave faster than others boot, and against waiting for a zone without any.
+    it("carries the loss of a zone's reclaimable engines while no zone has any, and replaces them afterwards", () => {
+        let reclaimedAt = Infinity;
+        const simulation = new CapacitySimulation({
+            standing: 5,
+            tasksAt: usualTasks,
+            isUnavailable: (unused, kind, at) => at >= reclaimedAt && at < reclaimedAt + 9000,
+        });
+        simulation.run(60_000);
+        const before = simulation.count();
+        const zone = [0, 1, 2, 3].map(zoneOf).reduce((a, b) =>
+            simulation.count("reclaimable", b) > simulation.count("reclaimable", a) ? b : a
+        );
+        expect(simulation.count("reclaimable", zone) / before, "share that leaves").to.be.above(0.2);
+        reclaimedAt = 60_000;
+        simulation.reclaim(zone);
+        simulation.run(69_000);
+        const during = simulation.orders.filter(({ at }) => at >= 60_000);
+        expect(during.every(({ end, to, from }) => end === "none-available" && to > from)).to.equal(true);
+        simulation.run(100_000);
+        expect(lateSteps(simulation)).to.equal(0);
+        expect(simulation.count() * slotsPerEngine).to.be.above(125 / 0.75);
+        expect(Math.max(0, ...changesByGroup(simulation.accepted(90_000)))).to.be.at.most(1);
+    });
+
+    it("orders in another zone in the pass of the notice where others are to be had", () => {
+        const simulation = new CapacitySimulation({ standing: 2, reclaimable: 4, tasksAt: usualTasks });
+        simulation.run(9000);
+        simulation.reclaim(zoneOf(1));
+        simulation.run(9100);
+        const orders = simulation.accepted(9000).filter(({ reason }) => reason === "leaving");
+        expect(orders.reduce((sum, { from, to }) => sum + to - from, 0)).to.be.above(0);
+        expect(orders.some(({ zone, kind }) => zone === zoneOf(1) && kind === "reclaimable")).to.equal(false);
+    });
+
+    it("tries the next cheapest in the same pass where a zone has none", () => {
+        const simulation = new CapacitySimulation({
+            standing: 4,
+            tasksAt: usualTasks,
+            isUnavailable: (zone, kind) => zone === zoneOf(1) && kind === "reclaimable",
+        });
+        simulation.run(30_000);
+        const refusedAt = simulation.orders.find(({ end }) => end === "none-available")!.at;
+        const next = simulation.orders.filter(({ at, end }) => at === refusedAt && end === "accepted");
+        expect(next.length).to.be.above(0);
+        expect(lateSteps(simulation)).to.equal(0);
+    });
+
+    it("follows a demand that triples for 30 s, and gives the engines back afterwards", () => {
+        const simulation = new CapacitySimulation({
+            standing: 5,
+            tasksAt: (unused, at) => at >= 60_000 && at < 90_000 ? 375 : 125,
+        });
+        simulation.run(60_000);
+        const before = simulation.count();
+        simulation.run(90_000);
+        expect(simulation.count() * slotsPerEngine).to.be.above(375);
+        const late = simulation.lateness.filter(ms => ms > 0);
+        expect(late.length, "late steps of 90").to.be.at.most(8);
+        simulation.run(180_000);
+        expect(simulation.count()).to.be.at.most(before * 1.5);
+        expect(Math.max(0, ...changesByGroup(simulation.accepted(150_000)))).to.be.at.most(1);
+    });
+
+    it("recovers from a wrong forecast: three of four trainers end, and later come back", () => {
+        const simulation = new CapacitySimulation({
+            standing: 5,
+            tasksAt: (trainer, at) => trainer === 0 || at < 60_000 || at >= 120_000 ? 125 : 0,
+        });
+        simulation.run(60_000);
+        const before = simulation.count();
+        simulation.run(120_000);
+        expect(simulation.count()).to.be.below(before * 0.75);
+        simulation.run(180_000);
+        expect(simulation.count() * slotsPerEngine).to.be.above(125 / 0.8);
+        expect(simulation.lateness.slice(-20).every(ms => ms <= 0)).to.equal(true);
+    });
+
+    it("orders nothing without a known demand, and gives nothing back before 10 s of it", () => {
+        const simulation = new CapacitySimulation({ standing: 8, tasksAt: () => 0 });
+        simulation.run(30_000);
+        expect(simulation.orders).to.deep.equal([]);
+        const known = new CapacitySimulation({ standing: 12, tasksAt: () => 30 });
+        known.run(10_000);
+        expect(known.accepted(0).filter(({ from, to }) => to < from)).to.deep.equal([]);
+    });
+
+    const group = fc.record({
+        zone: fc.integer({ min: 0, max: 3 }).map(zoneOf),
+        kind: fc.constantFrom("standing" as const, "reclaimable" as const),
+        ready: fc.integer({ min: 0, max: 7 }),
+        leaving: fc.constantFrom(0, 0, 0, 2),
+        lastOrder: fc.option(
+            fc.record({
+                count: fc.integer({ min: 0, max: 7 }),
+                previous: fc.integer({ min: 0, max: 7 }),
+                at: fc.integer({ min: 80_000, max: 100_000 }).map(instant),
+                isOpen: fc.boolean(),
+            }),
+            { nil: undefined },
+        ),
+        blockedUntil: fc.option(fc.integer({ min: 95_000, max: 103_000 }).map(instant), { nil: undefined }),
+    });
+    const anyInput: fc.Arbitrary<CapacityInput> = fc.record({
+        now: fc.constant(instant(100_000)),
+        scaling: fc.record({ min: fc.integer({ min: 0, max: 3 }), max: fc.integer({ min: 14, max: 20 }) })
+            .map(({ min, max }) => scalingFixture({ minPerZone: min, maxPerZone: max })),
+        slotsPerEngine: fc.constant(slotsPerEngine),
+        groups: fc.uniqueArray(group, { selector: ({ zone, kind }) => `${zone} ${kind}`, maxLength: 8 }),
+        demand: fc.record({
+            slots: fc.integer({ min: 0, max: 400 }),
+            peakSlots: fc.option(fc.integer({ min: 0, max: 400 }), { nil: undefined }),
+            isLate: fc.boolean(),
+        }),
+    });
+
+    it("never breaks the limits of a zone, however the engines stand", () => {
+        fc.assert(
+            fc.property(anyInput, input => {
+                const orders = planCapacity(input);
+                const { minPerZone, maxPerZone } = input.scaling;
+                for (const { zone, from, to } of orders) {
+                    const countOf = ({ kind, ready, lastOrder }: EngineGroup): number =>
+                        orders.find(order => order.zone === zone && order.kind === kind)?.to
+                            ?? (lastOrder?.isOpen === true ? Math.min(ready, lastOrder.count) : ready);
+                    const own = input.groups.filter(each => each.zone === zone);
+                    const added = orders.filter(order =>
+                        order.zone === zone && !own.some(each => each.kind === order.kind)
+                    );
+                    const total = [...own.map(countOf), ...added.map(order => order.to)].reduce((a, b) => a + b, 0);
+                    expect(to).to.not.equal(from);
+                    expect(to > from ? total <= maxPerZone : total >= minPerZone, JSON.stringify(orders)).to.equal(
+                        true,
+                    );
+                    if (to < from) {
+                        expect(to).to.equal(from - 1);
+                        expect(orders.filter(order => order.zone === zone)).to.have.length(1);
+                    }
+                }
+            }),
+            { numRuns: 2000 },
+        );
+    });
+
+    it("orders nothing new when it is asked again with the same input", () => {
+        fc.assert(
+            fc.property(anyInput, input => {
+                const again = withOrders(input, planCapacity(input));
+                expect(planCapacity(again)).to.deep.equal([]);
+            }),
+            { numRuns: 2000 },
+        );
+    });
+
+    it("does not oscillate under any constant demand", () => {
+        const load = fc.record({ tasks: fc.integer({ min: 5, max: 250 }), standing: fc.integer({ min: 1, max: 12 }) });
+        fc.assert(
+            fc.property(load, ({ tasks, standing }) => {
+                const simulation = new CapacitySimulation({ standing, tasksAt: () => tasks });
+                simulation.run(180_000);
+                expect(Math.max(0, ...changesByGroup(simulation.accepted(120_000)))).to.be.at.most(1);
+            }),
+            { numRuns: 40 },
+        );
+    });
+});
--- /dev/null
+++ b/packages/core/src/lib/capacity/EngineGroup.ts
@@ -0,0 +1,70 @@
+/**
+ * The engines of one service in one zone and of one kind, as the planner counts them. The list of engines lags behind an
+ * order by the time that an engine takes to boot, so ordered engines count until they had time to appear; engines that
+ * the platform has announced to take away do not count at all.
+ */
+
+import { after, type Instant, type ZoneId } from "../ids.js";
+import { type CapacityKind, type Scaling } from "./Scaling.js";
+
+/** The last order of a zone and kind that the platform has not refused. */
+export interface LastOrder {
+    readonly count: number;
+    /** The number that served when it was sent. */
+    readonly previous: number;
+    readonly at: Instant;
+    /** Whether the platform has not answered it yet; it is repeated until then. */
+    readonly isOpen: boolean;
+}
+
+/** The engines of one zone and kind. */
+export interface EngineGroup {
+    readonly zone: ZoneId;
+    readonly kind: CapacityKind;
+    /** Listed engines that stay. */
+    readonly ready: number;
+    /** Listed engines that have announced to leave. */
+    readonly leaving: number;
+    readonly lastOrder: LastOrder | undefined;
+    /** Until when the platform is not asked for more of these, because it had none; undefined if it was not refused. */
+    readonly blockedUntil: Instant | undefined;
+}
+
+/** Milliseconds beyond the boot time until an ordered engine is listed here: two reads of the list. */
+const listDelayMs = 2000;
+
+/** Milliseconds from an order until the list of engines shows its effect; what is missing then does not come. */
+export function showMs({ bootMs }: Scaling): number {
+    return bootMs + listDelayMs;
+}
+
+/** The engines that serve, without those that a sent order takes away. */
+export function servingCount({ ready, lastOrder }: EngineGroup, scaling: Scaling, now: Instant): number {
+    const isShowing = lastOrder !== undefined && now < after(lastOrder.at, showMs(scaling));
+    return isShowing && lastOrder.count < lastOrder.previous ? Math.min(ready, lastOrder.count) : ready;
+}
+
+/** The engines that serve or boot. Those that boot in a zone where engines leave are not counted. */
+export function expectedCount(group: EngineGroup, scaling: Scaling, now: Instant): number {
+    const { ready, leaving, lastOrder } = group;
+    const isShowing = lastOrder !== undefined && now < after(lastOrder.at, showMs(scaling));
+    const booting = isShowing && leaving === 0 ? Math.max(0, lastOrder.count - Math.max(lastOrder.previous, ready)) : 0;
+    return servingCount(group, scaling, now) + booting;
+}
+
+/** Whether a further order may be sent: the list shows the previous one, or would by now, and no engines leave. */
+export function isSettled({ ready, leaving, lastOrder }: EngineGroup, scaling: Scaling, now: Instant): boolean {
+    const isShown = lastOrder === undefined || lastOrder.count === ready || now >= after(lastOrder.at, showMs(scaling));
+    return leaving === 0 && isShown && lastOrder?.isOpen !== true;
+}
+
+/** Price of a second of one engine of a zone and kind; undefined where there are none to order. */
+export function priceOf(
+    { zonePrices, reclaimablePrice }: Scaling,
+    zone: ZoneId,
+    kind: CapacityKind,
+): number | undefined {
+    const price = zonePrices.find(each => each.zone === zone)?.price;
+    const share = kind === "standing" ? 1 : reclaimablePrice;
+    return price === undefined || share === undefined ? undefined : price * share;
+}
--- /dev/null
+++ b/packages/core/src/lib/capacity/giveBacks.ts
@@ -0,0 +1,95 @@
+/**
+ * Which engines to give back: the dearest first, one in a zone and pass, because the platform chooses which one leaves and
+ * its tasks must move. Nothing is given back while engines are taken away or boot, or while a step is late.
+ */
+
+import {
+    type CapacityDemand,
+    type CapacityInput,
+    type CapacityReason,
+    countIn,
+    inZone,
+    isBooting,
+    isReclaiming,
+    peakEngines,
+    type PlannedOrder,
+    servingOptions,
+} from "./CapacityInput.js";
+import { capacityLimits } from "./capacityLimits.js";
+import { type CapacityOption } from "./CapacityMix.js";
+import { isSettled } from "./EngineGroup.js";
+import { idealMix } from "./idealMix.js";
+import { survivorsOf, totalOf } from "./ZoneLoss.js";
+
+/** The orders that reduce a number, at most one for each zone. */
+export function giveBacks(input: CapacityInput, demand: CapacityDemand): readonly PlannedOrder[] {
+    const { scaling, groups, now } = input;
+    if (demand.peakSlots === undefined || demand.isLate || isBooting(input) || isReclaiming(input)) {
+        return [];
+    }
+    const replacement = replacementServing(input, idealMix(input, demand));
+    const orders: PlannedOrder[] = [];
+    let serving = servingOptions(input);
+    for (const { zone, kind } of [...serving].sort((a, b) => b.price - a.price)) {
+        const option = serving.find(each => each.zone === zone && each.kind === kind)!;
+        const less = serving.map(each => each === option ? { ...each, count: each.count - 1 } : each);
+        const isZoneFree = orders.every(order => order.zone !== zone)
+            && groups.every(group => group.zone !== zone || isSettled(group, scaling, now));
+        const reason = reasonFor(input, demand, option, serving, replacement);
+        if (reason !== undefined && isZoneFree && isEnough(input, demand, less, option)) {
+            orders.push({ zone, kind, from: option.count, to: option.count - 1, reason });
+            serving = less;
+        }
+    }
+    return orders;
+}
+
+/** `ideal` if its reclaimable engines serve, as far as their zones have room for them. */
+function replacementServing(
+    input: CapacityInput,
+    ideal: readonly CapacityOption[] | undefined,
+): readonly CapacityOption[] | undefined {
+    const serving = servingOptions(input);
+    const isServing = ideal?.every(({ zone, kind, count }) => {
+        const isFull = totalOf(inZone(serving, zone)) >= input.scaling.maxPerZone;
+        return kind !== "reclaimable" || isFull || countIn(serving, { zone, kind }) >= count;
+    });
+    return isServing === true ? ideal : undefined;
+}
+
+/** Why one engine of a zone and kind may go; undefined if it may not. */
+function reasonFor(
+    input: CapacityInput,
+    demand: CapacityDemand,
+    { kind, zone, count }: CapacityOption,
+    serving: readonly CapacityOption[],
+    replacement: readonly CapacityOption[] | undefined,
+): CapacityReason | undefined {
+    if (count === 0) {
+        return undefined;
+    }
+    if (peakEngines(input, demand) < totalOf(serving) * capacityLimits.giveBackBelow) {
+        return "idle";
+    }
+    const isReplaced = replacement !== undefined && kind === "standing"
+        && count > countIn(replacement, { zone, kind }) && totalOf(serving) > totalOf(replacement);
+    return isReplaced ? "cheaper" : undefined;
+}
+
+/** Whether `less` engines are enough for the highest demand, also after the worst loss, and for the zone's limit. */
+function isEnough(
+    input: CapacityInput,
+    demand: CapacityDemand,
+    less: readonly CapacityOption[],
+    { zone, kind }: CapacityOption,
+): boolean {
+    const { scaling, slotsPerEngine } = input;
+    const engines = peakEngines(input, demand);
+    const standing = totalOf(less.filter(option => option.kind === "standing"));
+    const keepsStanding = kind !== "standing" || scaling.reclaimablePrice === undefined
+        || standing >= engines * capacityLimits.minStandingShare;
+    return keepsStanding
+        && totalOf(inZone(less, zone)) >= scaling.minPerZone
+        && totalOf(less) >= Math.max(1, demand.slots / slotsPerEngine * capacityLimits.giveBackReserve)
+        && survivorsOf(less) * capacityLimits.afterLossTo >= engines;
+}
--- a/packages/core/src/lib/ports/TransactionalStore.ts
+++ b/packages/core/src/lib/ports/TransactionalStore.ts
@@ -17,6 +17,7 @@
     "retire",
     "lease",
     "streams",
+    "duties",
 ] as const;
 
 /** Purpose of a call to the store. */
