Order engines from the platform while conducting

Change: CapacityTask plans once a second, writes the record under its claim, sends the orders one after the other and repeats those without an answer; RolloutHost runs it next to the version plans where the port is there.

--- a/packages/core/src/lib/capacity/CapacityInput.ts
+++ b/packages/core/src/lib/capacity/CapacityInput.ts
@@ -2,7 +2,7 @@
 
 import { type Instant, type ZoneId } from "../ids.js";
 import { type CapacityOption } from "./CapacityMix.js";
-import { type EngineGroup, expectedCount, isSettled, priceOf, servingCount } from "./EngineGroup.js";
+import { canIncrease, type EngineGroup, expectedCount, isReduced, priceOf, servingCount } from "./EngineGroup.js";
 import { type CapacityKind, type Scaling } from "./Scaling.js";
 import { type CapacityCount, totalOf } from "./ZoneLoss.js";
 
@@ -10,8 +10,10 @@
 export interface CapacityDemand {
     /** Slots needed now. */
     readonly slots: number;
-    /** The highest need of the last 10 s; undefined while it is not known for that long. */
+    /** The highest need of the last 10 s; undefined while it is known for less than half of that. */
     readonly peakSlots: number | undefined;
+    /** Whether the need is known for 10 s, from when on engines may be given back. */
+    readonly isPeakCertain: boolean;
     /** Whether an open job is past its due time, or needs more slots than there are to end by it. */
     readonly isLate: boolean;
 }
@@ -64,15 +66,7 @@
 
 /** Whether the platform takes engines away. Those that leave because an order names fewer do not count. */
 export function isReclaiming({ groups }: CapacityInput): boolean {
-    return groups.some(({ kind, leaving, ready, lastOrder }) => {
-        const isOrdered = lastOrder !== undefined && lastOrder.count < lastOrder.previous && ready === lastOrder.count;
-        return kind === "reclaimable" && leaving > 0 && !isOrdered;
-    });
-}
-
-/** Whether ordered engines do not serve yet. */
-export function isBooting({ scaling, groups, now }: CapacityInput): boolean {
-    return groups.some(group => expectedCount(group, scaling, now) > servingCount(group, scaling, now));
+    return groups.some(group => group.kind === "reclaimable" && group.leaving > 0 && !isReduced(group));
 }
 
 /** The highest demand that is known, in engines. */
@@ -118,6 +112,6 @@
 
 function optionOf(group: EngineGroup, count: number, { scaling, now }: CapacityInput): CapacityOption {
     const { zone, kind, blockedUntil = -Infinity } = group;
-    const canAdd = isSettled(group, scaling, now) && now >= blockedUntil;
+    const canAdd = canIncrease(group, scaling, now) && now >= blockedUntil;
     return { zone, kind, count, price: priceOf(scaling, zone, kind) ?? Infinity, canAdd };
 }
--- a/packages/core/src/lib/capacity/CapacityPlanner.ts
+++ b/packages/core/src/lib/capacity/CapacityPlanner.ts
@@ -1,8 +1,8 @@
 /**
  * Decides how many engines of a service to order from the platform, by zone and kind. The load: four trainers whose steps
- * overlap, and zones that lose all their reclaimable engines at once while none are to be had anywhere. Three rules, of
- * which only the first that asks for something acts in one pass: order what is missing now; order cheaper engines to
- * replace others; give back what a longer time has not needed. The numbers are absolute, so an order may be repeated.
+ * overlap, and zones that lose all their reclaimable engines at once while none are to be had anywhere. Three rules: order
+ * what is missing now, order cheaper engines to replace others, and give back what a longer time has not needed. The
+ * numbers are absolute, so an order may be repeated; asked again with the orders in place, the planner asks for nothing.
  */
 
 import {
@@ -12,7 +12,6 @@
     type CapacityReason,
     countIn,
     expectedOptions,
-    isBooting,
     isReclaiming,
     type PlannedOrder,
     roomsOf,
@@ -31,52 +30,69 @@
         return [];
     }
     const complete = { ...input, groups: allGroups(input) };
-    const missing = ordersForMissing(complete, demand);
-    if (missing.length > 0) {
-        return missing;
+    const present = expectedOptions(complete);
+    const enough = withMissing(complete, demand, present);
+    const ideal = idealMix(complete, demand, enough);
+    const cheaper = ideal === undefined || isReclaiming(complete) ? enough : withCheaper(complete, enough, ideal);
+    const added = [...ordersTo(present, enough, reasonOf(complete, demand)), ...ordersTo(enough, cheaper, "cheaper")];
+    const fewer = giveBacks(complete, demand, ideal);
+    // A zone and kind for which both rules ask gets one order, with the reason of the first.
+    const byGroup = new Map<string, PlannedOrder>();
+    for (const order of [...added, ...fewer]) {
+        const key = `${order.zone} ${order.kind}`;
+        const known = byGroup.get(key);
+        byGroup.set(key, known === undefined ? order : { ...known, to: Math.max(known.to, order.to) });
     }
-    const cheaper = ordersForCheaper(complete, demand);
-    return cheaper.length > 0 ? cheaper : giveBacks(complete, demand);
+    return [...byGroup.values()];
 }
 
-/** Orders what the present demand, the worst loss of a zone or the lower limit of a zone needs. */
-function ordersForMissing(input: CapacityInput, { slots }: CapacityDemand): readonly PlannedOrder[] {
-    const present = expectedOptions(input);
+/** Adds what the present demand, the worst loss of a zone or the lower limit of a zone needs. */
+function withMissing(
+    input: CapacityInput,
+    { slots }: CapacityDemand,
+    present: readonly CapacityOption[],
+): readonly CapacityOption[] {
     const filled = withZoneMinimum(input, present);
     const engines = slots / input.slotsPerEngine;
-    const isOverloaded = engines > totalOf(present) * capacityLimits.orderAbove;
-    const isAtRisk = engines > survivorsOf(present);
     const need = {
-        total: isOverloaded ? Math.ceil(engines / capacityLimits.orderTo) : 0,
-        survivors: isAtRisk ? Math.ceil(engines / capacityLimits.afterLossTo) : 0,
+        total: isOverloaded(engines, present) ? Math.ceil(engines / capacityLimits.orderTo) : 0,
+        survivors: isAtRisk(engines, present) ? Math.ceil(engines / capacityLimits.afterLossTo) : 0,
         standing: 0,
     };
+    return cheapestMix(filled, need, input.scaling.maxPerZone, roomsOf(input, filled));
+}
+
+function isOverloaded(engines: number, present: readonly CapacityOption[]): boolean {
+    return engines > totalOf(present) * capacityLimits.orderAbove;
+}
+
+/** Whether the worst loss of a zone would leave too few engines. */
+function isAtRisk(engines: number, present: readonly CapacityOption[]): boolean {
+    return engines > survivorsOf(present);
+}
+
+function reasonOf(input: CapacityInput, { slots }: CapacityDemand): CapacityReason {
+    const present = expectedOptions(input);
+    const engines = slots / input.slotsPerEngine;
     const reasons: readonly (readonly [boolean, CapacityReason])[] = [
-        [!isOverloaded && !isAtRisk, "minimum"],
+        [!isOverloaded(engines, present) && !isAtRisk(engines, present), "minimum"],
         [isReclaiming(input), "leaving"],
-        [isOverloaded, "demand"],
+        [isOverloaded(engines, present), "demand"],
     ];
-    const reason = reasons.find(([applies]) => applies)?.[1] ?? "zone-loss";
-    return ordersTo(present, cheapestMix(filled, need, input.scaling.maxPerZone, roomsOf(input, filled)), reason);
+    return reasons.find(([applies]) => applies)?.[1] ?? "zone-loss";
 }
 
-/**
- * Orders reclaimable engines that can replace others, if that saves enough; the others are given back later. Nothing is
- * replaced while engines are taken away or boot.
- */
-function ordersForCheaper(input: CapacityInput, demand: CapacityDemand): readonly PlannedOrder[] {
-    const ideal = idealMix(input, demand);
-    if (ideal === undefined || isBooting(input) || isReclaiming(input)) {
-        return [];
-    }
-    const present = expectedOptions(input);
+/** Adds the reclaimable engines of `ideal` as far as there is room; dearer ones are given back once these serve. */
+function withCheaper(
+    input: CapacityInput,
+    present: readonly CapacityOption[],
+    ideal: readonly CapacityOption[],
+): readonly CapacityOption[] {
     const roomOf = roomsOf(input, present);
-    const wanted = present.map(option => {
-        const isMissing = option.kind === "reclaimable" && option.canAdd;
+    return present.map(option => {
         const added = Math.max(0, Math.min(roomOf(option), countIn(ideal, option) - option.count));
-        return isMissing ? { ...option, count: option.count + added } : option;
+        return option.kind === "reclaimable" && option.canAdd ? { ...option, count: option.count + added } : option;
     });
-    return ordersTo(present, wanted, "cheaper");
 }
 
 function ordersTo(
--- a/packages/core/src/lib/capacity/DemandForecast.ts
+++ b/packages/core/src/lib/capacity/DemandForecast.ts
@@ -29,7 +29,7 @@
 }
 
 /** Weight of a new step in the smoothed work, by whether it is larger or smaller: a rise must be served within a step. */
-const workWeight = { larger: 0.7, smaller: 0.25 } as const;
+const workWeight = { larger: 0.7, smaller: 0.4 } as const;
 
 /** Weight of a new interval between steps in the smoothed one. */
 const intervalWeight = 0.4;
--- a/packages/core/src/lib/capacity/DemandWindow.ts
+++ b/packages/core/src/lib/capacity/DemandWindow.ts
@@ -8,6 +8,9 @@
 /** Milliseconds that the demand must have been known for before engines are given back. */
 const windowMs = 10_000;
 
+/** Milliseconds from which the peak is used to order cheaper engines, so that these serve when the window is full. */
+const minKnownMs = 5000;
+
 /** Milliseconds without a sample after which the earlier ones say nothing any more. */
 const maxGapMs = 3000;
 
@@ -30,10 +33,15 @@
         this.samples = [...this.samples.filter(({ at }) => now - at <= windowMs), { at: now, slots }];
     }
 
-    /** The highest demand of the window in slots; undefined before the window is full. */
+    /** The highest demand of the last 10 s in slots; undefined while it is known for less than half of that. */
     peak(now: Instant): number | undefined {
-        return this.since === undefined || now - this.since < windowMs
+        return this.since === undefined || now - this.since < minKnownMs
             ? undefined
             : Math.max(0, ...this.samples.map(({ slots }) => slots));
     }
+
+    /** Whether the peak covers the whole window. */
+    isFull(now: Instant): boolean {
+        return this.since !== undefined && now - this.since >= windowMs;
+    }
 }
--- a/packages/core/src/lib/capacity/EngineGroup.ts
+++ b/packages/core/src/lib/capacity/EngineGroup.ts
@@ -52,10 +52,30 @@
     return servingCount(group, scaling, now) + booting;
 }
 
-/** Whether a further order may be sent: the list shows the previous one, or would by now, and no engines leave. */
-export function isSettled({ ready, leaving, lastOrder }: EngineGroup, scaling: Scaling, now: Instant): boolean {
-    const isShown = lastOrder === undefined || lastOrder.count === ready || now >= after(lastOrder.at, showMs(scaling));
-    return leaving === 0 && isShown && lastOrder?.isOpen !== true;
+/** Whether more may be ordered: the list shows the previous order, or would by now, and no engines leave. */
+export function canIncrease(group: EngineGroup, scaling: Scaling, now: Instant): boolean {
+    return group.leaving === 0 && isShown(group, scaling, now);
+}
+
+/** Whether fewer may be ordered; engines that the previous order took away may still be leaving. */
+export function canDecrease(group: EngineGroup, scaling: Scaling, now: Instant): boolean {
+    return isShown(group, scaling, now) && (group.leaving === 0 || isReduced(group));
+}
+
+/** Whether the engines that leave are those that the last order took away. */
+export function isReduced({ ready, lastOrder }: EngineGroup): boolean {
+    return lastOrder !== undefined && lastOrder.count < lastOrder.previous && lastOrder.count === ready;
+}
+
+/** Whether the list does not show yet that the last order takes engines away. */
+export function isDecreasing(group: EngineGroup, scaling: Scaling, now: Instant): boolean {
+    const { lastOrder } = group;
+    return lastOrder !== undefined && lastOrder.count < lastOrder.previous && !isShown(group, scaling, now);
+}
+
+function isShown({ ready, lastOrder }: EngineGroup, scaling: Scaling, now: Instant): boolean {
+    return lastOrder === undefined
+        || !lastOrder.isOpen && (lastOrder.count === ready || now >= after(lastOrder.at, showMs(scaling)));
 }
 
 /** Price of a second of one engine of a zone and kind; undefined where there are none to order. */
--- a/packages/core/src/lib/capacity/capacityLimits.ts
+++ b/packages/core/src/lib/capacity/capacityLimits.ts
@@ -16,6 +16,8 @@
     replaceTo: 0.6,
     /** Smallest saving, as a share of the present price, for which engines are replaced. */
     minSaving: 0.1,
+    /** Share of the cheaper engines that must serve before dearer ones are given back for them. */
+    minReplacedShare: 0.5,
     /**
      * Engines that cannot be reclaimed, as a share of those that the demand needs. The safety against a loss covers one zone;
      * a second zone may lose its engines before the first has got others.
--- a/packages/core/src/lib/capacity/giveBacks.ts
+++ b/packages/core/src/lib/capacity/giveBacks.ts
@@ -1,6 +1,7 @@
 /**
  * Which engines to give back: the dearest first, one in a zone and pass, because the platform chooses which one leaves and
- * its tasks must move. Nothing is given back while engines are taken away or boot, or while a step is late.
+ * its tasks must move. Only engines that serve count. Nothing is given back while the platform takes engines away, or
+ * while a step is late.
  */
 
 import {
@@ -9,7 +10,6 @@
     type CapacityReason,
     countIn,
     inZone,
-    isBooting,
     isReclaiming,
     peakEngines,
     type PlannedOrder,
@@ -17,26 +17,32 @@
 } from "./CapacityInput.js";
 import { capacityLimits } from "./capacityLimits.js";
 import { type CapacityOption } from "./CapacityMix.js";
-import { isSettled } from "./EngineGroup.js";
-import { idealMix } from "./idealMix.js";
+import { canDecrease, isDecreasing } from "./EngineGroup.js";
 import { survivorsOf, totalOf } from "./ZoneLoss.js";
 
-/** The orders that reduce a number, at most one for each zone. */
-export function giveBacks(input: CapacityInput, demand: CapacityDemand): readonly PlannedOrder[] {
+/** The orders that reduce a number, at most one for each zone; engines dearer than those in `ideal` are replaced by them. */
+export function giveBacks(
+    input: CapacityInput,
+    demand: CapacityDemand,
+    ideal: readonly CapacityOption[] | undefined,
+): readonly PlannedOrder[] {
     const { scaling, groups, now } = input;
-    if (demand.peakSlots === undefined || demand.isLate || isBooting(input) || isReclaiming(input)) {
+    if (!demand.isPeakCertain || demand.isLate || isReclaiming(input)) {
         return [];
     }
-    const replacement = replacementServing(input, idealMix(input, demand));
+    const replacement = replacementServing(input, ideal);
     const orders: PlannedOrder[] = [];
     let serving = servingOptions(input);
     for (const { zone, kind } of [...serving].sort((a, b) => b.price - a.price)) {
         const option = serving.find(each => each.zone === zone && each.kind === kind)!;
         const less = serving.map(each => each === option ? { ...each, count: each.count - 1 } : each);
-        const isZoneFree = orders.every(order => order.zone !== zone)
-            && groups.every(group => group.zone !== zone || isSettled(group, scaling, now));
+        const own = groups.filter(group => group.zone === zone);
+        const isFree = orders.every(order => order.zone !== zone)
+            && own.every(group =>
+                group.kind === kind ? canDecrease(group, scaling, now) : !isDecreasing(group, scaling, now)
+            );
         const reason = reasonFor(input, demand, option, serving, replacement);
-        if (reason !== undefined && isZoneFree && isEnough(input, demand, less, option)) {
+        if (reason !== undefined && isFree && isEnough(input, demand, less, option)) {
             orders.push({ zone, kind, from: option.count, to: option.count - 1, reason });
             serving = less;
         }
@@ -44,17 +50,19 @@
     return orders;
 }
 
-/** `ideal` if its reclaimable engines serve, as far as their zones have room for them. */
+/**
+ * `ideal` if at least half of its reclaimable engines serve. The others need room that dearer engines take, and each of
+ * these goes only while the engines that serve are as many as those in `ideal`.
+ */
 function replacementServing(
     input: CapacityInput,
     ideal: readonly CapacityOption[] | undefined,
 ): readonly CapacityOption[] | undefined {
-    const serving = servingOptions(input);
-    const isServing = ideal?.every(({ zone, kind, count }) => {
-        const isFull = totalOf(inZone(serving, zone)) >= input.scaling.maxPerZone;
-        return kind !== "reclaimable" || isFull || countIn(serving, { zone, kind }) >= count;
-    });
-    return isServing === true ? ideal : undefined;
+    const reclaimable = (counts: readonly CapacityOption[]): number =>
+        totalOf(counts.filter(({ kind }) => kind === "reclaimable"));
+    const isServing = ideal !== undefined
+        && reclaimable(servingOptions(input)) >= reclaimable(ideal) * capacityLimits.minReplacedShare;
+    return isServing ? ideal : undefined;
 }
 
 /** Why one engine of a zone and kind may go; undefined if it may not. */
--- a/packages/core/src/lib/ports/DutyPlatform.ts
+++ b/packages/core/src/lib/ports/DutyPlatform.ts
@@ -36,6 +36,8 @@
 
 /** Client of the platform's calls for the holder of a duty. */
 export interface DutyPlatform {
+    /** False where the deployment does not let its hosts order engines; undefined counts as true. */
+    readonly ordersCapacity?: boolean;
     reportUsage(report: UsageReport, holder: DutyHolder): Promise<DutyCallEnd>;
     orderCapacity(order: CapacityOrder, holder: DutyHolder): Promise<DutyCallEnd>;
 }
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -20,6 +20,7 @@
     type RunEnd,
     type ServiceId,
     type ServiceSpec,
+    SlotPace,
     type SoftwareVersion,
     type TargetEntryView,
     type TargetId,
@@ -91,6 +92,7 @@
     private readonly runs = new Map<TaskRun, RunningTask>();
     private readonly paceTracker = new PaceTracker();
     private readonly backoff = new EngineBackoff();
+    private readonly slotPace = new SlotPace();
     /** Smoothed sum of the expected tokens of a step, by model. */
     private readonly workByModel = new Map<string, number>();
     private cancelDispatch: (() => void) | undefined;
@@ -130,6 +132,11 @@
         return this.workByModel.get(model);
     }
 
+    /** Milliseconds of a slot for each expected token of a task; undefined before enough tasks have been completed. */
+    get slotMsPerToken(): number | undefined {
+        return this.slotPace.slotMsPerToken;
+    }
+
     /** Whether any open job has a task that waits to run. */
     get hasWaiting(): boolean {
         return this.scheduler.open.some(open => open.waiting.length > 0);
@@ -321,6 +328,10 @@
             : reported;
         this.runningCounts.set(target, this.runningAt(target) - 1);
         this.runs.delete(run);
+        this.slotPace.recordRun(this.clock.now() - startedAt);
+        if (end.kind === "completed") {
+            this.slotPace.recordTask(run.task.expectedTokens ?? run.task.tokens);
+        }
         this.journal.log("task-ended", {
             job: job.id,
             task: run.task.id,
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -5,6 +5,7 @@
     type CallTargets,
     type Clock,
     type ConductorHandover,
+    type DutyPlatform,
     type HostId,
     type Instant,
     type Job,
@@ -26,6 +27,9 @@
 } from "@tamarackpath/core";
 import { type Either, Left, Right } from "purify-ts";
 import { CallForwarder } from "./CallForwarder.js";
+import { CapacityDemandMeter } from "./CapacityDemandMeter.js";
+import { CapacityStore } from "./CapacityStore.js";
+import { CapacityTask } from "./CapacityTask.js";
 import { ConductorTask } from "./ConductorTask.js";
 import { CrashGuard } from "./CrashGuard.js";
 import { HostView } from "./HostView.js";
@@ -56,6 +60,8 @@
     readonly clock: Clock;
     readonly random: () => number;
     readonly journal: Journal;
+    /** The platform's calls that are the duty of one host at a time; undefined where there are none. */
+    readonly duties?: DutyPlatform | undefined;
 }
 
 /** Identity of a host. */
@@ -99,6 +105,8 @@
     private readonly rewards: RewardRunner;
     private readonly runner: JobRunner;
     private readonly versions: VersionTask;
+    /** Undefined where the hosts order no engines; it does nothing while no service has limits for that. */
+    readonly capacity: CapacityTask | undefined;
     private readonly standby: StandbyTask;
     private readonly watch: LiveKeyWatch;
     readonly permits: RequestPermits;
@@ -197,6 +205,7 @@
             clock,
             journal,
         );
+        this.capacity = this.createCapacityTask();
         this.watch = new LiveKeyWatch(store, jobs, this.registry, this.conductor, clock, journal);
         this.standby = new StandbyTask(
             {
@@ -287,6 +296,25 @@
         });
     }
 
+    private createCapacityTask(): CapacityTask | undefined {
+        const { duties, store, clock, journal } = this.ports;
+        if (duties === undefined || duties.ordersCapacity === false) {
+            return undefined;
+        }
+        const demand = new CapacityDemandMeter(this.scheduler, () => this.runner.slotMsPerToken, clock);
+        this.registry.events.on("opened", open => demand.recordStep(open));
+        return new CapacityTask(
+            this.identity.name,
+            this.view,
+            this.conductor,
+            demand,
+            new CapacityStore(store, journal),
+            duties,
+            clock,
+            journal,
+        );
+    }
+
     /** True while this host reaches no target, and other hosts do. */
     private get isStranded(): boolean {
         return this.reach.isCutOff && this.relays.hasAny(this.ports.clock.now());
@@ -437,9 +465,11 @@
         this.rewards.activate();
         this.standby.activate();
         this.watch.activate();
+        this.capacity?.activate();
     }
 
     private endConducting(): void {
+        this.capacity?.deactivate();
         this.watch.deactivate();
         this.standby.deactivate();
         this.rewards.deactivate();
