Move runs away from engines that have announced to leave

Cause: leavingEngines.test.ts showed that runs at a leaving engine stayed until it was gone; the platform takes reclaimable engines away 2 to 3 s after a notice.

--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -6,6 +6,7 @@
 
 import {
     after,
+    type AvailableEngine,
     type Clock,
     type EngineCapacity,
     type Instant,
@@ -13,6 +14,7 @@
     type JobScheduler,
     type MovableRun,
     PaceTracker,
+    planLeavingMoves,
     planMoves,
     planUpgrades,
     type ProgressSnapshot,
@@ -71,7 +73,7 @@
 const tasksFlow = "tasks";
 
 /** Why a run is stopped to be resumed at another engine. */
-export type RunMoveReason = "changing" | "inherited" | "restarted" | "silent" | "slow" | "upgraded";
+export type RunMoveReason = "changing" | "inherited" | "leaving" | "restarted" | "silent" | "slow" | "upgraded";
 
 /** A run at an engine. */
 interface RunningTask {
@@ -379,15 +381,15 @@
         // The next check is scheduled first, so that an unexpected error in this one does not end them.
         this.cancelMoves = this.clock.callAt(after(now, moveIntervalMs), () => this.moveRuns());
         const engines = this.engineCapacities();
-        const available = engines.map(({ target, slots, running, speed, software }) => ({
-            target,
-            speed,
-            software,
-            freeSlots: slots - running,
-        }));
-        const runs = [...this.runs].flatMap(([run, running]) =>
+        const allRuns = [...this.runs].flatMap(([run, running]) =>
             running.moved === undefined && !running.stop.signal.aborted ? [{ run, ...running }] : []
         );
+        const takenSlots = this.moveFromLeaving(allRuns, engines);
+        const available = engines.map(engine => ({
+            ...availableOf(engine),
+            freeSlots: engine.slots - engine.running - (takenSlots.get(engine.target) ?? 0),
+        }));
+        const runs = allRuns.filter(({ run }) => this.runs.get(run)?.moved === undefined);
         const changing = new Set(
             runs.map(({ target }) => target).filter(target => this.versions.isChanging(target, now)),
         );
@@ -416,6 +418,24 @@
         this.upgradeRuns(runs.filter(({ run }) => this.runs.get(run)?.moved === undefined), engines, changing, now);
     }
 
+    /** Moves runs away from engines that have announced to leave; returns the slots that they will take, by engine. */
+    private moveFromLeaving(
+        runs: readonly MovableRun[],
+        engines: readonly EngineCapacity[],
+    ): ReadonlyMap<TargetId, number> {
+        const taken = new Map<TargetId, number>();
+        const leaving = runs.filter(({ target }) => this.view.directory.get(target)?.leaving === true);
+        const gapMsOf = (target: TargetId): number | undefined => this.paceTracker.usualGapMs(target);
+        for (const { run, to } of planLeavingMoves(leaving, engines.map(availableOf), gapMsOf)) {
+            const running = this.runs.get(run)!;
+            taken.set(to, (taken.get(to) ?? 0) + 1);
+            run.preferredTarget = to;
+            running.moved = "leaving";
+            running.stop.abort();
+        }
+        return taken;
+    }
+
     /** Moves the longest runs to engines that are faster for good, if no task waits for the slots there. */
     private upgradeRuns(
         runs: readonly MovableRun[],
@@ -520,6 +540,10 @@
     }
 }
 
+function availableOf({ target, slots, running, speed, software }: EngineCapacity): AvailableEngine {
+    return { target, speed, software, freeSlots: slots - running };
+}
+
 /** Number of tasks that an engine runs at once. */
 function slotsOf(entry: TargetEntryView, spec: ServiceSpec): number {
     return entry.slots > 0 ? entry.slots : spec.engine!.slots;
--- a/packages/rollout/src/lib/jobRunnerFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRunnerFixtures.test.ts
@@ -80,8 +80,8 @@
     };
 }
 
-/** A job of `tasks` tasks in one group. */
-export function engineJobFixture(id: string, tasks: number): Job {
+/** A job of `tasks` tasks in one group; `expectedTokens` holds those of the first tasks. */
+export function engineJobFixture(id: string, tasks: number, expectedTokens: readonly number[] = []): Job {
     return {
         id: asId<JobId>(id),
         host: "h",
@@ -98,7 +98,7 @@
             headers: {},
             body: new Uint8Array(),
             tokens: 1,
-            expectedTokens: undefined,
+            expectedTokens: expectedTokens[nth],
             reward: undefined,
         })),
     };
@@ -113,11 +113,12 @@
     dueAt: 0 as Instant,
 };
 
-/** A conductor's job runner with one open job of `tasks` tasks and the engines `names`. */
+/** A conductor's job runner with one open job of `tasks` tasks and the engines `engineEntries`. */
 export function jobRunnerFixture(
     clock: Clock,
     engineEntries: readonly (string | TargetEntryView)[],
     tasks: number,
+    expectedTokens?: readonly number[],
 ): JobRunnerFixture {
     const entries = engineEntries.map(entry => typeof entry === "string" ? engineEntryFixture(entry) : entry);
     const results: TaskResult[] = [];
@@ -187,6 +188,6 @@
         clock,
         journal,
     );
-    scheduler.add(engineJobFixture("j", tasks), engineTermsFixture, new JobLog());
+    scheduler.add(engineJobFixture("j", tasks, expectedTokens), engineTermsFixture, new JobLog());
     return { runner, permits, scheduler, view, runs, results, rejected, entries };
 }
