--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -5,6 +5,7 @@
     asId,
     type Clock,
     type ConfigRevision,
+    type DutyPlatform,
     type ForwardedCall,
     type ForwardOutcome,
     type GroupId,
@@ -24,6 +25,7 @@
     type Route,
     type RouteId,
     type RouteKind,
+    type Scaling,
     type ServiceId,
     sleepUntil,
     type StoredChanges,
@@ -109,6 +111,9 @@
     readonly cutOf?: (host: HostId) => TargetCut | undefined;
     /** The store of an earlier fleet, whose hosts were all lost. */
     readonly store?: FleetStore;
+    /** Limits and prices of the engines, where the hosts order them through `duties`. */
+    readonly scaling?: Scaling;
+    readonly duties?: DutyPlatform;
 }
 
 export interface Fleet {
@@ -214,7 +219,7 @@
 /** Starts hosts that share a store and targets, and resolves once one of them conducts and all others follow it. */
 export async function startFleet(
     clock: Clock,
-    { hosts: size, targets, version, behaviour, cutOf, store = new FleetStore(clock) }: FleetOptions,
+    { hosts: size, targets, version, behaviour, cutOf, store = new FleetStore(clock), scaling, duties }: FleetOptions,
 ): Promise<Fleet> {
     const listed = (): readonly TargetEntryView[] => typeof targets === "function" ? targets() : targets;
     const isFirstStart = !store.hasBeenWritten;
@@ -319,6 +324,7 @@
             healthPath: "/",
             maxConnections: 100,
             engine: id === engineService ? { slots: 6, memoryTokens: 100_000, models: ["m"] } : undefined,
+            scaling: id === engineService ? scaling : undefined,
         })),
         limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     };
@@ -401,6 +407,7 @@
                 clock,
                 random: Math.random,
                 journal,
+                duties,
             },
         );
         hostsById.set(self, host);
--- a/packages/rollout/src/lib/softwareVersions.test.ts
+++ b/packages/rollout/src/lib/softwareVersions.test.ts
@@ -93,6 +93,13 @@
         first.end({ kind: "fault", detail: "reset" });
         scheduler.adoptText({ task: first.task, text: copyOf(60, oldSoftware) });
     },
+    "leaving": async ({ clock, first, view }) => {
+        const others = [engine("b", newSoftware), engine("c", newSoftware)];
+        view.applyTargets([{ ...engine("a", oldSoftware), leaving: true }, ...others], 0);
+        await clock.advance(500);
+        view.applyTargets(others, 0);
+        first.end({ kind: "fault", detail: "reset" });
+    },
     "restarted": async ({ view }) => {
         // The engine had restarted with other software before the run began, and its entry shows it only now.
         const incarnation = 100 as TargetEntryView["incarnation"];
