--- a/packages/core/src/lib/capacity/DemandForecast.ts
+++ b/packages/core/src/lib/capacity/DemandForecast.ts
@@ -52,12 +52,14 @@
         }
         known.tokens += (tokens > known.tokens ? workWeight.larger : workWeight.smaller) * (tokens - known.tokens);
         const intervalMs = submittedAt - known.lastAt;
-        // A job that a new conductor opens again is not a new step.
-        if (intervalMs > 0) {
-            known.intervalMs ??= intervalMs;
+        // A new conductor opens the stored jobs in any order, and a job that is opened again is not a new step.
+        if (known.intervalMs === undefined && intervalMs !== 0) {
+            known.intervalMs = Math.abs(intervalMs);
+        }
+        else if (known.intervalMs !== undefined && intervalMs > 0) {
             known.intervalMs += intervalWeight * (intervalMs - known.intervalMs);
-            known.lastAt = submittedAt;
         }
+        known.lastAt = Math.max(known.lastAt, submittedAt) as Instant;
     }
 
     /** Expected tokens per millisecond of the steps to come. */
