Try a bounded number of mixes, and replay losses in a row

Cause: with thousands of engines a zone, every limit of reclaimable engines was tried in each plan, and each run at a leaving engine was compared with all others. Change: 64 limits at most, and a queue of engines with room.

--- a/packages/core/src/lib/capacity/CapacityMix.ts
+++ b/packages/core/src/lib/capacity/CapacityMix.ts
@@ -29,6 +29,9 @@
     readonly cost: number;
 }
 
+/** Upper limit of the numbers of reclaimable engines per zone that are tried; all of them in zones of up to 64 engines. */
+const maxTrials = 64;
+
 /** Price of a second of all engines. */
 export function costOf(options: readonly CapacityOption[]): number {
     return options.reduce((sum, { price, count }) => sum + price * count, 0);
@@ -36,7 +39,8 @@
 
 /**
  * The cheapest numbers that are no lower than the present ones and meet `need`, with at most `maxPerZone` engines in a
- * zone; as near to `need` as possible where it cannot be met. `rooms` returns how many engines a zone has room for.
+ * zone; as near to `need` as possible where it cannot be met. `roomOf` returns how many engines an option's zone has room
+ * for.
  */
 export function cheapestMix(
     options: readonly CapacityOption[],
@@ -46,7 +50,8 @@
 ): readonly CapacityOption[] {
     const least = worstLoss(options);
     let best: Mix | undefined;
-    for (let limit = least; limit <= Math.max(least, maxPerZone); limit++) {
+    const step = Math.max(1, Math.ceil((maxPerZone - least) / maxTrials));
+    for (let limit = least; limit <= Math.max(least, maxPerZone); limit += step) {
         const mix = mixWithin(options, need, limit, roomOf);
         if (
             best === undefined || mix.missing < best.missing || mix.missing === best.missing && mix.cost < best.cost
--- a/packages/core/src/lib/capacity/CapacityPlanner.test.ts
+++ b/packages/core/src/lib/capacity/CapacityPlanner.test.ts
@@ -2,6 +2,7 @@
 
 import { expect } from "chai";
 import fc from "fast-check";
+import { seededRandom } from "../membership/seededRandom.js";
 import {
     CapacitySimulation,
     instant,
@@ -79,17 +80,25 @@
         expect(orders.some(({ zone, kind }) => zone === zoneOf(1) && kind === "reclaimable")).to.equal(false);
     });
 
-    it("tries the next cheapest in the same pass where a zone has none", () => {
-        const simulation = new CapacitySimulation({
-            standing: 4,
-            tasksAt: usualTasks,
-            isUnavailable: (zone, kind) => zone === zoneOf(1) && kind === "reclaimable",
-        });
-        simulation.run(30_000);
-        const refusedAt = simulation.orders.find(({ end }) => end === "none-available")!.at;
-        const next = simulation.orders.filter(({ at, end }) => at === refusedAt && end === "accepted");
-        expect(next.length).to.be.above(0);
-        expect(lateSteps(simulation)).to.equal(0);
+    // Guards against a service that has not recovered from one loss when the next one comes.
+    it("serves steps of unlike sizes in time although a zone loses its reclaimable engines every 15 s", () => {
+        for (const seed of [1, 2, 3]) {
+            const random = seededRandom(seed);
+            let unavailableUntil = 0;
+            const simulation = new CapacitySimulation({
+                scaling: scalingFixture({ maxPerZone: 8 }),
+                standing: 4,
+                reclaimable: 4,
+                tasksAt: () => 100 + Math.floor(random() * 51),
+                isUnavailable: (unused, kind, at) => at < unavailableUntil,
+            });
+            for (let at = 15_000; at <= 120_000; at += 15_000) {
+                simulation.run(at);
+                unavailableUntil = at + 9000;
+                simulation.reclaim(zoneOf(Math.floor(random() * 4)));
+            }
+            expect(lateSteps(simulation), `seed ${seed}`).to.equal(0);
+        }
     });
 
     it("follows a demand that triples for 30 s, and gives the engines back afterwards", () => {
@@ -101,8 +110,8 @@
         const before = simulation.count();
         simulation.run(90_000);
         expect(simulation.count() * slotsPerEngine).to.be.above(375);
-        const late = simulation.lateness.filter(ms => ms > 0);
-        expect(late.length, "late steps of 90").to.be.at.most(8);
+        // Two steps of each trainer are submitted before the engines ordered for them can serve.
+        expect(lateSteps(simulation), "late steps").to.be.at.most(8);
         simulation.run(180_000);
         expect(simulation.count()).to.be.at.most(before * 1.5);
         expect(Math.max(0, ...changesByGroup(simulation.accepted(150_000)))).to.be.at.most(1);
--- a/packages/core/src/lib/capacity/capacityFixtures.test.ts
+++ b/packages/core/src/lib/capacity/capacityFixtures.test.ts
@@ -53,8 +53,6 @@
 export interface SentOrder extends PlannedOrder {
     readonly at: number;
     readonly end: DutyCallEnd;
-    /** Engines of the zone that do not leave, after the order. */
-    readonly inZone: number;
 }
 
 export interface SimulationOptions {
@@ -168,8 +166,7 @@
                 each.leavesAt = this.now + 2400;
             });
         }
-        const inZone = this.engines.filter(each => each.zone === zone && each.leavesAt === Infinity).length;
-        this.orders.push({ ...order, at: this.now, end: isRefused ? "none-available" : "accepted", inZone });
+        this.orders.push({ ...order, at: this.now, end: isRefused ? "none-available" : "accepted" });
         return isRefused ? "none-available" : "accepted";
     }
 
--- a/packages/core/src/lib/jobs/LeavingMoves.ts
+++ b/packages/core/src/lib/jobs/LeavingMoves.ts
@@ -29,26 +29,24 @@
     engines: readonly AvailableEngine[],
     gapMsOf: (target: TargetId) => number | undefined,
 ): readonly LeavingMove[] {
-    const moves: LeavingMove[] = [];
-    const freeSlots = new Map(engines.map(engine => [engine.target, engine.freeSlots]));
     const candidates = runs
         .map(({ run, target }) => ({ run, leftMs: eventsLeft(run) * (gapMsOf(target) ?? defaultGapMs) }))
         .filter(({ leftMs }) => leftMs > minLeftMs)
         .sort((a, b) => b.leftMs - a.leftMs);
-    for (const { run } of candidates) {
-        const roomAt = ({ target, speed }: AvailableEngine): number => freeSlots.get(target)! * speed;
-        const to = engines
-            .filter(({ target, software }) => freeSlots.get(target)! > 0 && run.progress.canContinueAt(software))
-            .reduce<AvailableEngine | undefined>(
-                (best, engine) => best === undefined || roomAt(engine) > roomAt(best) ? engine : best,
-                undefined,
-            );
-        if (to !== undefined) {
-            freeSlots.set(to.target, freeSlots.get(to.target)! - 1);
-            moves.push({ run, to: to.target });
+    // The engines with the most room come first, and each goes to the end after it took a run, so that they share them.
+    const queue = engines.filter(({ freeSlots }) => freeSlots > 0)
+        .sort((a, b) => b.freeSlots * b.speed - a.freeSlots * a.speed);
+    return candidates.flatMap(({ run }) => {
+        const nth = queue.findIndex(({ software }) => run.progress.canContinueAt(software));
+        const [engine] = nth < 0 ? [] : queue.splice(nth, 1);
+        if (engine === undefined) {
+            return [];
         }
-    }
-    return moves;
+        if (engine.freeSlots > 1) {
+            queue.push({ ...engine, freeSlots: engine.freeSlots - 1 });
+        }
+        return [{ run, to: engine.target }];
+    });
 }
 
 function eventsLeft({ task, progress }: MovableRun["run"]): number {
