--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -6,6 +6,7 @@
 
 import {
     after,
+    type AvailableEngine,
     type Clock,
     type EngineCapacity,
     type Instant,
@@ -13,6 +14,7 @@
     type JobScheduler,
     type MovableRun,
     PaceTracker,
+    planLeavingMoves,
     planMoves,
     planUpgrades,
     type ProgressSnapshot,
@@ -20,6 +22,7 @@
     type RunEnd,
     type ServiceId,
     type ServiceSpec,
+    SlotPace,
     type SoftwareVersion,
     type TargetEntryView,
     type TargetId,
@@ -76,7 +79,7 @@
 const tasksFlow = "tasks";
 
 /** Why a run is stopped to be resumed at another engine. */
-export type RunMoveReason = "changing" | "inherited" | "restarted" | "silent" | "slow" | "upgraded";
+export type RunMoveReason = "changing" | "inherited" | "leaving" | "restarted" | "silent" | "slow" | "upgraded";
 
 /** A run at an engine. */
 interface RunningTask {
@@ -97,6 +100,7 @@
     private readonly runs = new Map<TaskRun, RunningTask>();
     private readonly paceTracker = new PaceTracker();
     private readonly backoff = new EngineBackoff();
+    private readonly slotPace = new SlotPace();
     /** Smoothed sum of the expected tokens of a step, by model. */
     private readonly workByModel = new Map<string, number>();
     private cancelDispatch: (() => void) | undefined;
@@ -140,6 +144,11 @@
         return this.workByModel.get(model);
     }
 
+    /** Milliseconds of a slot for each expected token of a task; undefined before enough tasks have been completed. */
+    get slotMsPerToken(): number | undefined {
+        return this.slotPace.slotMsPerToken;
+    }
+
     /** Whether any open job has a task that waits to run. */
     get hasWaiting(): boolean {
         return this.scheduler.open.some(open => open.waiting.length > 0);
@@ -384,6 +393,10 @@
             : reported;
         this.runningCounts.set(target, this.runningAt(target) - 1);
         this.runs.delete(run);
+        this.slotPace.recordRun(this.clock.now() - startedAt);
+        if (end.kind === "completed") {
+            this.slotPace.recordTask(run.task.expectedTokens ?? run.task.tokens);
+        }
         this.journal.log("task-ended", {
             job: job.id,
             task: run.task.id,
@@ -439,15 +452,15 @@
             this.dispatch();
         }
         const engines = this.engineCapacities();
-        const available = engines.map(({ target, slots, running, speed, software }) => ({
-            target,
-            speed,
-            software,
-            freeSlots: slots - running,
-        }));
-        const runs = [...this.runs].flatMap(([run, running]) =>
+        const allRuns = [...this.runs].flatMap(([run, running]) =>
             running.moved === undefined && !running.stop.signal.aborted ? [{ run, ...running }] : []
         );
+        const takenSlots = this.moveFromLeaving(allRuns, engines);
+        const available = engines.map(engine => ({
+            ...availableOf(engine),
+            freeSlots: engine.slots - engine.running - (takenSlots.get(engine.target) ?? 0),
+        }));
+        const runs = allRuns.filter(({ run }) => this.runs.get(run)?.moved === undefined);
         const changing = new Set(
             runs.map(({ target }) => target).filter(target => this.versions.isChanging(target, now)),
         );
@@ -476,6 +489,24 @@
         this.upgradeRuns(runs.filter(({ run }) => this.runs.get(run)?.moved === undefined), engines, changing, now);
     }
 
+    /** Moves runs away from engines that have announced to leave; returns the slots that they will take, by engine. */
+    private moveFromLeaving(
+        runs: readonly MovableRun[],
+        engines: readonly EngineCapacity[],
+    ): ReadonlyMap<TargetId, number> {
+        const taken = new Map<TargetId, number>();
+        const leaving = runs.filter(({ target }) => this.view.directory.get(target)?.leaving === true);
+        const gapMsOf = (target: TargetId): number | undefined => this.paceTracker.usualGapMs(target);
+        for (const { run, to } of planLeavingMoves(leaving, engines.map(availableOf), gapMsOf)) {
+            const running = this.runs.get(run)!;
+            taken.set(to, (taken.get(to) ?? 0) + 1);
+            run.preferredTarget = to;
+            running.moved = "leaving";
+            running.stop.abort();
+        }
+        return taken;
+    }
+
     /** Moves the longest runs to engines that are faster for good, if no task waits for the slots there. */
     private upgradeRuns(
         runs: readonly MovableRun[],
@@ -580,6 +611,10 @@
     }
 }
 
+function availableOf({ target, slots, running, speed, software }: EngineCapacity): AvailableEngine {
+    return { target, speed, software, freeSlots: slots - running };
+}
+
 /** Number of tasks that an engine runs at once. */
 function slotsOf(entry: TargetEntryView, spec: ServiceSpec): number {
     return entry.slots > 0 ? entry.slots : spec.engine!.slots;
--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -5,6 +5,7 @@
     asId,
     type Clock,
     type ConfigRevision,
+    type DutyPlatform,
     type ForwardedCall,
     type ForwardOutcome,
     type GroupId,
@@ -27,6 +28,7 @@
     type RouteConfig,
     type RouteId,
     type RouteKind,
+    type Scaling,
     type ServiceId,
     sleepUntil,
     type StoredChanges,
@@ -125,6 +127,8 @@
     readonly settings?: Partial<RolloutSettings>;
     /** Ports beside those of the fleet. */
     readonly ports?: Pick<RolloutPorts, "duties" | "timeOfDay">;
+    /** Limits and prices of the engines, where the hosts order them through the port. */
+    readonly scaling?: Scaling;
 }
 
 export interface Fleet {
@@ -243,6 +247,7 @@
         lateHostsWithoutCallers = 0,
         settings,
         ports,
+        scaling,
     }: FleetOptions,
 ): Promise<Fleet> {
     const listed = (): readonly TargetEntryView[] => typeof targets === "function" ? targets() : targets;
@@ -354,6 +359,7 @@
             healthPath: "/",
             maxConnections: 100,
             engine: id === engineService ? { slots: 6, memoryTokens: 100_000, models: ["m"] } : undefined,
+            scaling: id === engineService ? scaling : undefined,
         })),
         limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     };
