Move runs away from leaving engines only where engines are ordered

Cause: engines of other deployments drain until their runs have ended, so moving these would interrupt them for nothing.

--- a/packages/rollout/src/lib/CapacityTask.test.ts
+++ b/packages/rollout/src/lib/CapacityTask.test.ts
@@ -7,13 +7,11 @@
     type CapacityOrder,
     type CapacityRecord,
     ConductorTerm,
-    type ConfigRevision,
     type DutyCallEnd,
     type Instant,
     jobKeys,
     type KeyRevision,
     type LeaseId,
-    type ServiceSpec,
     type ZoneId,
 } from "@tamarackpath/core";
 import { expect } from "chai";
@@ -22,15 +20,15 @@
 import { CapacityStore } from "./CapacityStore.js";
 import { CapacityTask } from "./CapacityTask.js";
 import { HostView } from "./HostView.js";
-import { engineEntryFixture } from "./jobRunnerFixtures.test.js";
+import { applyEngineConfig, engineEntryFixture, scalingFixture } from "./jobRunnerFixtures.test.js";
 import { type Journal, noopJournal } from "./Journal.js";
 import { MemoryTransactionalStore } from "./MemoryStore.test.js";
 import { createSteppingClock, type SteppingClock } from "./steppingClock.test.js";
 
 const zones = [asId<ZoneId>("a"), asId<ZoneId>("b")] as const;
 
-/** 200 slots for 2 engines of 8 slots. */
-const highDemand: CapacityDemand = { slots: 200, peakSlots: undefined, isPeakCertain: false, isLate: false };
+/** 100 slots for 2 engines of 4 slots. */
+const highDemand: CapacityDemand = { slots: 100, peakSlots: undefined, isPeakCertain: false, isLate: false };
 
 class FailingStore extends MemoryTransactionalStore {
     isDown = false;
@@ -65,22 +63,11 @@
 
 function viewFixture(clock: SteppingClock): HostView {
     const view = new HostView(clock, noopJournal);
-    const service: ServiceSpec = {
-        id: engineEntryFixture("e").service,
-        healthPath: "/",
-        maxConnections: 9,
-        engine: { slots: 8, memoryTokens: 1, models: [] },
-        scaling: {
-            minPerZone: 1,
-            maxPerZone: 30,
-            bootMs: 4000,
-            reclaimablePrice: 0.18,
-            zonePrices: [{ zone: zones[0], price: 1 }, { zone: zones[1], price: 0.8 }],
-        },
-    };
-    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    const config = { revision: 1 as ConfigRevision, routes: [], services: [service], limits };
-    view.applyOperator({ config, versions: [], retiring: [] }, "store");
+    applyEngineConfig(view, 1, {
+        ...scalingFixture,
+        maxPerZone: 30,
+        zonePrices: [{ zone: zones[0], price: 1 }, { zone: zones[1], price: 0.8 }],
+    });
     return view;
 }
 
@@ -88,7 +75,7 @@
 async function holderFixture(name: string, clock: SteppingClock, store: FailingStore): Promise<HolderFixture> {
     const view = viewFixture(clock);
     const listAgain = (): void => {
-        view.applyTargets(zones.map(zone => engineEntryFixture(`e-${zone}`, 8, { zone })), undefined);
+        view.applyTargets(zones.map(zone => engineEntryFixture(`e-${zone}`, 4, { zone })), undefined);
         clock.callAt((clock.now() + 500) as Instant, listAgain);
     };
     listAgain();
@@ -153,7 +140,7 @@
                 .map(({ zone, kind, count }) => [`${zone} ${kind}`, count]),
         );
         const total = [...engines.values()].reduce((sum, count) => sum + count, 0);
-        expect(total * 8 * 0.75).to.be.above(200);
+        expect(total * 4 * 0.75).to.be.above(100);
         expect(new Set(holder.holders)).to.deep.equal(new Set(["h1 1"]));
         const sent = holder.sent.length;
         await clock.advance(2000);
@@ -228,7 +215,7 @@
         await clock.advance(1000);
         const numbers = new Set(holder.sent.map(({ zone, kind, count }) => `${zone} ${kind} ${count}`));
         store.isDown = true;
-        holder.demand = { ...highDemand, slots: 400 };
+        holder.demand = { ...highDemand, slots: 200 };
         const before = holder.sent.length;
         await clock.advance(3000);
         const later = holder.sent.slice(before).map(({ zone, kind, count }) => `${zone} ${kind} ${count}`);
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -418,13 +418,19 @@
         this.upgradeRuns(runs.filter(({ run }) => this.runs.get(run)?.moved === undefined), engines, changing, now);
     }
 
-    /** Moves runs away from engines that have announced to leave; returns the slots that they will take, by engine. */
+    /**
+     * Moves runs away from engines that have announced to leave, where engines are ordered and taken away at short notice;
+     * others finish their runs. Returns the slots that the runs will take, by engine.
+     */
     private moveFromLeaving(
         runs: readonly MovableRun[],
         engines: readonly EngineCapacity[],
     ): ReadonlyMap<TargetId, number> {
         const taken = new Map<TargetId, number>();
-        const leaving = runs.filter(({ target }) => this.view.directory.get(target)?.leaving === true);
+        const leaving = runs.filter(({ target }) => {
+            const entry = this.view.directory.get(target);
+            return entry?.leaving === true && this.view.routes?.service(entry.service)?.scaling !== undefined;
+        });
         const gapMsOf = (target: TargetId): number | undefined => this.paceTracker.usualGapMs(target);
         for (const { run, to } of planLeavingMoves(leaving, engines.map(availableOf), gapMsOf)) {
             const running = this.runs.get(run)!;
--- a/packages/rollout/src/lib/jobRunnerFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRunnerFixtures.test.ts
@@ -13,6 +13,7 @@
     JobScheduler,
     type JobTerms,
     type RolloutEngines,
+    type Scaling,
     type ServiceId,
     type SoftwareVersion,
     type TargetEntryView,
@@ -113,6 +114,24 @@
     dueAt: 0 as Instant,
 };
 
+/** Puts a configuration in force whose engines are ordered from the platform if it has `scaling`. */
+export function applyEngineConfig(view: HostView, revision: number, scaling?: Scaling): void {
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    const engine = { slots: 4, memoryTokens: 1, models: [] };
+    const service = { id: engineService, healthPath: "/", maxConnections: 9, engine, scaling };
+    const config = { revision: revision as ConfigRevision, routes: [], services: [service], limits };
+    view.applyOperator({ config, versions: [], retiring: [] }, "store");
+}
+
+/** Limits and prices of engines in one zone. */
+export const scalingFixture: Scaling = {
+    minPerZone: 1,
+    maxPerZone: 9,
+    bootMs: 4000,
+    reclaimablePrice: 0.2,
+    zonePrices: [{ zone: asId<ZoneId>("z"), price: 1 }],
+};
+
 /** A conductor's job runner with one open job of `tasks` tasks and the engines `engineEntries`. */
 export function jobRunnerFixture(
     clock: Clock,
@@ -131,18 +150,7 @@
         },
     };
     const view = new HostView(clock, noopJournal);
-    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    const service = {
-        id: engineService,
-        healthPath: "/",
-        maxConnections: 9,
-        engine: { slots: 4, memoryTokens: 1, models: [] },
-    };
-    view.applyOperator({
-        config: { revision: 1 as ConfigRevision, routes: [], services: [service], limits },
-        versions: [],
-        retiring: [],
-    }, "store");
+    applyEngineConfig(view, 1);
     view.applyTargets(entries, 0);
     const runs: EngineRun[] = [];
     const engines = {
--- a/packages/rollout/src/lib/leavingEngines.test.ts
+++ b/packages/rollout/src/lib/leavingEngines.test.ts
@@ -3,16 +3,19 @@
 import { type TargetId } from "@tamarackpath/core";
 import { expect } from "chai";
 import {
+    applyEngineConfig,
     engineEntryFixture,
     type EngineRun,
     type JobRunnerFixture,
     jobRunnerFixture,
+    scalingFixture,
 } from "./jobRunnerFixtures.test.js";
 import { createSteppingClock, type SteppingClock } from "./steppingClock.test.js";
 
 /** Three tasks at "a" with 10 events each, and 90, 10 and 50 left; "b" is listed once they run. */
 async function runsAt(clock: SteppingClock, slotsOfB: number): Promise<JobRunnerFixture> {
     const fixture = jobRunnerFixture(clock, [engineEntryFixture("a", 4)], 3, [100, 20, 60]);
+    applyEngineConfig(fixture.view, 2, scalingFixture);
     fixture.runner.activate();
     await clock.advance(10);
     fixture.view.applyTargets([engineEntryFixture("a", 4), engineEntryFixture("b", slotsOfB)], 0);
@@ -56,6 +59,16 @@
         fixture.runner.deactivate();
     });
 
+    it("stay where engines are not ordered: such engines leave once their runs have ended", async () => {
+        const clock = createSteppingClock(0.01);
+        const fixture = await runsAt(clock, 4);
+        applyEngineConfig(fixture.view, 3);
+        announceLeave(fixture, 4);
+        await clock.advance(400);
+        expect(at("b", fixture.runs)).to.deep.equal([]);
+        fixture.runner.deactivate();
+    });
+
     it("get no further tasks beside them", async () => {
         const clock = createSteppingClock(0.01);
         const fixture = await runsAt(clock, 4);
--- a/packages/rollout/src/lib/softwareVersions.test.ts
+++ b/packages/rollout/src/lib/softwareVersions.test.ts
@@ -7,12 +7,14 @@
 import { expect } from "chai";
 import { type RunMoveReason } from "./JobRunner.js";
 import {
+    applyEngineConfig,
     engineEntryFixture,
     engineJobFixture,
     type EngineRun,
     engineTermsFixture,
     type JobRunnerFixture,
     jobRunnerFixture,
+    scalingFixture,
 } from "./jobRunnerFixtures.test.js";
 import { createSteppingClock, settle, type SteppingClock } from "./steppingClock.test.js";
 
@@ -95,6 +97,7 @@
     },
     "leaving": async ({ clock, first, view }) => {
         const others = [engine("b", newSoftware), engine("c", newSoftware)];
+        applyEngineConfig(view, 2, scalingFixture);
         view.applyTargets([{ ...engine("a", oldSoftware), leaving: true }, ...others], 0);
         await clock.advance(500);
         view.applyTargets(others, 0);
