Order engines by what steps need at once, and keep standing engines for all of it

A step's tasks come at once, and the next step waits for its longest task. Change: an open job needs the slots with which its tasks wait no longer than its longest task leaves time for; standing engines carry the highest demand alone (a quarter before).

--- a/packages/core/src/lib/capacity/DemandForecast.ts
+++ b/packages/core/src/lib/capacity/DemandForecast.ts
@@ -1,7 +1,8 @@
 /**
  * How many slots the steps of trainers need. The load: four trainers submit a step of 100 to 150 tasks every 4 s, each due
- * after 7.5 s, so steps overlap and the open tasks alone vary by a factor of two within a step. The steady need follows
- * from the work and interval of each model's recent steps; the open tasks count when they need more than that.
+ * after 7.5 s. All tasks of a step come at once, and the trainer asks for the next step only when this one is whole, so the
+ * average of the work says too little: a step whose long tasks wait for slots delays all that follow. The open jobs say what
+ * is needed now; the work and interval of each model's recent steps say what is needed at least.
  */
 
 import { type Instant } from "../ids.js";
@@ -16,10 +17,13 @@
 
 /** The unfinished tasks of one open job. */
 export interface OpenWork {
-    readonly dueAt: Instant;
+    /** By when its trainer needs the step: its due time, or that of the next step, whichever is earlier. */
+    readonly wantedAt: Instant;
     readonly tasks: number;
     /** Expected tokens that are left to generate. */
     readonly tokens: number;
+    /** Expected tokens of its longest task. */
+    readonly longestTokens: number;
 }
 
 interface ModelSteps {
@@ -62,6 +66,11 @@
         known.lastAt = Math.max(known.lastAt, submittedAt) as Instant;
     }
 
+    /** Milliseconds between a model's steps; undefined before the second one. */
+    intervalMs(model: string): number | undefined {
+        return this.models.get(model)?.intervalMs;
+    }
+
     /** Expected tokens per millisecond of the steps to come. */
     tokensPerMs(now: Instant): number {
         let sum = 0;
@@ -78,22 +87,18 @@
 }
 
 /**
- * Slots that the open jobs need to end by their due times. Engines that are ordered now serve after `bootMs`, so work
- * that is due earlier, or late, is spread over that time. A task uses one slot at a time.
+ * Milliseconds that tasks may wait for a slot at least. Work whose time is over needs its slots now, and no more than it
+ * has tasks.
  */
-export function slotsOfOpenWork(
-    open: readonly OpenWork[],
-    slotMsPerToken: number,
-    bootMs: number,
-    now: Instant,
-): number {
-    let needed = 0;
-    let tasks = 0;
-    let slotMs = 0;
-    for (const work of [...open].sort((a, b) => a.dueAt - b.dueAt)) {
-        tasks += work.tasks;
-        slotMs += work.tokens * slotMsPerToken;
-        needed = Math.max(needed, Math.min(tasks, slotMs / Math.max(bootMs, work.dueAt - now)));
-    }
-    return needed;
+const minQueueMs = 500;
+
+/**
+ * Slots that the open jobs need together. A step is as late as its last task, so its longest task has to start early enough
+ * to end in time, and the time before that is what its tasks may wait for slots in.
+ */
+export function slotsOfOpenWork(open: readonly OpenWork[], slotMsPerToken: number, now: Instant): number {
+    return open.reduce((sum, { wantedAt, tasks, tokens, longestTokens }) => {
+        const queueMs = Math.max(minQueueMs, wantedAt - now - longestTokens * slotMsPerToken);
+        return sum + Math.min(tasks, tokens * slotMsPerToken / queueMs);
+    }, 0);
 }
--- a/packages/core/src/lib/capacity/capacityLimits.ts
+++ b/packages/core/src/lib/capacity/capacityLimits.ts
@@ -19,8 +19,8 @@
     /** Share of the cheaper engines that must serve before dearer ones are given back for them. */
     minReplacedShare: 0.5,
     /**
-     * Engines that cannot be reclaimed, as a share of those that the demand needs. The safety against a loss covers one zone;
-     * a second zone may lose its engines before the first has got others.
+     * Engines that cannot be reclaimed, as a share of those that the highest demand needs. Without any other engines they
+     * still carry it: zones lose their reclaimable engines one after the other, and at times no zone has others to give.
      */
-    minStandingShare: 0.25,
+    minStandingShare: 1,
 } as const;
--- a/packages/rollout/src/lib/CapacityDemandMeter.ts
+++ b/packages/rollout/src/lib/CapacityDemandMeter.ts
@@ -9,7 +9,6 @@
     type JobScheduler,
     type OpenJob,
     type OpenWork,
-    type Scaling,
     type ServiceId,
     slotsOfOpenWork,
     StepForecast,
@@ -40,7 +39,7 @@
     }
 
     /** The demand of a service with `servingSlots` slots; undefined while it cannot be measured. */
-    measure(service: ServiceId, { bootMs }: Scaling, servingSlots: number): CapacityDemand | undefined {
+    measure(service: ServiceId, servingSlots: number): CapacityDemand | undefined {
         const slotMsPerToken = this.slotMsPerToken();
         if (slotMsPerToken === undefined) {
             return undefined;
@@ -48,10 +47,14 @@
         const now = this.clock.now();
         // Submission and due times are wall-clock times of other hosts, so they are compared with this host's wall clock.
         const wallNow = Date.now() as Instant;
-        const open = this.scheduler.open.filter(({ terms }) => terms.service === service)
-            .map(job => openWork(job, after(now, job.terms.dueAt - wallNow)));
-        const ofOpenWork = slotsOfOpenWork(open, slotMsPerToken, bootMs, now);
-        const ofSteps = (this.forecasts.get(service)?.tokensPerMs(wallNow) ?? 0) * slotMsPerToken;
+        const forecast = this.forecasts.get(service);
+        const jobs = this.scheduler.open.filter(({ terms }) => terms.service === service);
+        const open = jobs.map(job => {
+            const nextStepAt = job.job.submittedAt + (forecast?.intervalMs(job.job.model) ?? Infinity);
+            return openWork(job, after(now, Math.min(job.terms.dueAt, nextStepAt) - wallNow));
+        });
+        const ofOpenWork = slotsOfOpenWork(open, slotMsPerToken, now);
+        const ofSteps = (forecast?.tokensPerMs(wallNow) ?? 0) * slotMsPerToken;
         const slots = Math.max(ofOpenWork, ofSteps);
         const window = this.windows.get(service) ?? new DemandWindow();
         this.windows.set(service, window);
@@ -60,18 +63,19 @@
             slots,
             peakSlots: window.peak(now),
             isPeakCertain: window.isFull(now),
-            isLate: ofOpenWork > servingSlots || open.some(({ dueAt, tasks }) => dueAt <= now && tasks > 0),
+            isLate: ofOpenWork > servingSlots || open.some(({ wantedAt, tasks }) => wantedAt <= now && tasks > 0),
         };
     }
 }
 
-function openWork({ waiting, running }: OpenJob, dueAt: Instant): OpenWork {
+function openWork({ waiting, running }: OpenJob, wantedAt: Instant): OpenWork {
     const tokensOf = (runs: Iterable<{ readonly task: Task; }>): number =>
         [...runs].reduce((sum, { task }) => sum + expectedTokens(task), 0);
     return {
-        dueAt,
+        wantedAt,
         tasks: waiting.length + running.size,
         tokens: tokensOf(waiting) + tokensOf(running) * runningLeftShare,
+        longestTokens: Math.max(0, ...[...waiting, ...running].map(({ task }) => expectedTokens(task))),
     };
 }
 
--- a/packages/rollout/src/lib/CapacityTask.ts
+++ b/packages/rollout/src/lib/CapacityTask.ts
@@ -168,9 +168,9 @@
         }
     }
 
-    private measure({ spec, scaling, slotsPerEngine }: ScaledService): CapacityInput["demand"] {
+    private measure({ spec, slotsPerEngine }: ScaledService): CapacityInput["demand"] {
         const serving = this.view.directory.targets.filter(({ service, leaving }) => service === spec.id && !leaving);
-        return this.demand.measure(spec.id, scaling, serving.length * slotsPerEngine);
+        return this.demand.measure(spec.id, serving.length * slotsPerEngine);
     }
 
     private canOrder({ claim }: CapacityTerm): boolean {
