--- a/packages/rollout/src/lib/LiveKeyWatch.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.ts
@@ -108,7 +108,10 @@
         this.registry.recordEndsKnown(startedAt);
         for (const { key, item } of seen.changes) {
             if (key.startsWith(jobKeys.openPrefix) && item !== undefined) {
-                await this.openStored(item);
+                // Reading the parts of a large job takes time in which ends of other jobs would stay unknown.
+                void this.openStored(item).catch((err: unknown) =>
+                    this.journal.log("unexpected-error", { loop: "open a job", detail: String(err) })
+                );
             }
         }
         return seen.asOf;
