--- a/packages/core/src/lib/duties/UsageLedger.ts
+++ b/packages/core/src/lib/duties/UsageLedger.ts
@@ -26,6 +26,7 @@
     /** Requests by host and incarnation in windows that this ledger fixed. */
     private readonly fixedTotals = new Map<number, Map<string, number>>();
     private newestFixed = -Infinity;
+    private newestAccepted = -Infinity;
 
     constructor(private readonly windowMs: number) {}
 
@@ -51,7 +52,10 @@
                 this.merge(window, process, counts);
             }
         }
-        this.forgetBefore(newest - maxWindows);
+        if (newest > this.newestAccepted) {
+            this.newestAccepted = newest;
+            this.forgetBefore(newest - maxWindows);
+        }
         return late;
     }
 
--- a/packages/core/src/lib/duties/UsageRecord.test.ts
+++ b/packages/core/src/lib/duties/UsageRecord.test.ts
@@ -5,7 +5,7 @@
 import { UsageCounter } from "./UsageCounter.js";
 import { UsageLedger } from "./UsageLedger.js";
 import { decodeUsageRecord, encodeUsageRecord, fixWindows } from "./UsageRecord.js";
-import { UsageReporter } from "./UsageReporter.js";
+import { UsageReporter, type UsageStep } from "./UsageReporter.js";
 
 const windowMs = 5000;
 const organisation = asId<OrganisationId>("a");
@@ -14,6 +14,14 @@
     return new TextEncoder().encode(JSON.stringify(value));
 }
 
+/** The step of a reporter that has been asked for `ms` before, at a time of day at which no window was due. */
+function stepAfter(reporter: UsageReporter, from: number, ms: number, timeOfDay: number): UsageStep {
+    for (let now = from; now < from + ms; now += 500) {
+        reporter.next(now as Instant, timeOfDay - 60_000);
+    }
+    return reporter.next(from + ms as Instant, timeOfDay);
+}
+
 describe("The record of use", () => {
     // Guards against an earlier build that drops what a later one needs while both run.
     it("keeps the fields of later builds, of the record and of each window", () => {
@@ -39,8 +47,8 @@
         const ledger = new UsageLedger(windowMs);
         const reporter = new UsageReporter(ledger, windowMs, 20, 0 as Instant, 100 * windowMs);
         reporter.recordUnreadable(4 as KeyRevision, 100 * windowMs);
-        expect(reporter.next(10_000 as Instant, 101 * windowMs + 4000).kind).to.equal("wait");
-        const step = reporter.next(20_000 as Instant, 102 * windowMs + 4000);
+        expect(stepAfter(reporter, 0, 3000, 101 * windowMs + 4000).kind).to.equal("wait");
+        const step = stepAfter(reporter, 3000, 3000, 102 * windowMs + 4000);
         expect(step.kind === "write" && step.fixed.map(({ window }) => window)).to.deep.equal([101]);
     });
 
@@ -56,8 +64,27 @@
         expect(ledger.oldestWindow).to.be.at.least(240);
         const reporter = new UsageReporter(ledger, windowMs, 20, 0 as Instant, 300 * windowMs);
         reporter.recordRead({ fixedTo: 99, unreported: [] }, 4 as KeyRevision);
-        const step = reporter.next(10_000 as Instant, 300 * windowMs + 4000);
+        const step = stepAfter(reporter, 0, 3000, 300 * windowMs + 4000);
         expect(step.kind === "write" && [step.fixed.length, step.dropped, step.record.fixedTo])
             .to.deep.equal([60, 140, 299]);
     });
+
+    // Guards against a new holder that is paused soon after its claim, and fixes a window before it has heard of any host.
+    it("gets no window before its holder has listened, also after a pause of the holder's process", () => {
+        const due = 101 * windowMs + 4000;
+        for (
+            const [pausedAt, pauseMs, resumedFor, kind] of [
+                [2000, 0, 0, "write"],
+                [1500, 0, 0, "wait"],
+                [500, 1400, 1500, "wait"],
+                [500, 1400, 2000, "write"],
+                [2000, 1400, 1500, "wait"],
+            ] as const
+        ) {
+            const reporter = new UsageReporter(new UsageLedger(windowMs), windowMs, 20, 0 as Instant, 100 * windowMs);
+            reporter.recordRead({ fixedTo: 99, unreported: [] }, 4 as KeyRevision);
+            stepAfter(reporter, 0, pausedAt, due - 60_000);
+            expect(stepAfter(reporter, pausedAt + pauseMs, resumedFor, due).kind).to.equal(kind);
+        }
+    });
 });
--- a/packages/core/src/lib/duties/UsageReporter.ts
+++ b/packages/core/src/lib/duties/UsageReporter.ts
@@ -22,8 +22,14 @@
  */
 const maxFixDelayMs = 4000;
 
-/** Milliseconds from the begin of a term until windows are fixed, within which hosts find the new conductor. */
-const takeOverDelayMs = 2000;
+/** Milliseconds from the begin of a term until windows are fixed, within which hosts find the new conductor and send their counts. */
+const listeningMs = 2000;
+
+/**
+ * Milliseconds between two steps from which this process counts as having been paused: more than a call takes. What hosts sent
+ * meanwhile may be lost or not be read yet, so it listens anew before it fixes windows.
+ */
+const maxStepGapMs = 1000;
 
 /** Milliseconds until a call is repeated; the time doubles with each failure. */
 const retryDelayMs = { first: 200, max: 2000 } as const;
@@ -60,6 +66,8 @@
     private failures = 0;
     private rejections = 0;
     private storeFailures = 0;
+    private listensSince: Instant;
+    private lastStepAt: Instant;
     private nextReadAt = -Infinity as Instant;
     private nextCallAt = -Infinity as Instant;
 
@@ -68,9 +76,12 @@
         private readonly ledger: UsageLedger,
         private readonly windowMs: number,
         private readonly callIntervalMs: number,
-        private readonly begunAt: Instant,
+        begunAt: Instant,
         private readonly timeOfDay: number,
-    ) {}
+    ) {
+        this.listensSince = begunAt;
+        this.lastStepAt = begunAt;
+    }
 
     /** The newest fixed window in the store, or undefined while it is not known. */
     get fixedTo(): number | undefined {
@@ -84,6 +95,10 @@
 
     /** The next step at `now`, which is `timeOfDay` in Unix milliseconds. */
     next(now: Instant, timeOfDay: number): UsageStep {
+        if (now - this.lastStepAt > maxStepGapMs) {
+            this.listensSince = now;
+        }
+        this.lastStepAt = now;
         if (this.known === undefined) {
             return { kind: now < this.nextReadAt ? "wait" : "read" };
         }
@@ -91,7 +106,7 @@
         if (record === undefined) {
             return { kind: "write", record: this.firstRecord(), revision, fixed: [], dropped: 0 };
         }
-        const fixed = now < after(this.begunAt, takeOverDelayMs) ? [] : this.dueWindows(record, timeOfDay);
+        const fixed = now < after(this.listensSince, listeningMs) ? [] : this.dueWindows(record, timeOfDay);
         if (fixed.length > 0) {
             const { record: next, dropped } = fixWindows(record, fixed, this.settled);
             return { kind: "write", record: next, revision, fixed, dropped };
