--- a/packages/core/src/lib/jobs/RewardQueue.ts
+++ b/packages/core/src/lib/jobs/RewardQueue.ts
@@ -89,7 +89,8 @@
 
     /**
      * Attempts to start at `now`. They count as in flight from this call on, until `end` is called for each.
-     * `availableAt` returns how many more requests a target's rate limit permits at `now`.
+     * `routeOf` returns the same object for all calls of one route and service, and `availableAt` how many more requests a
+     * target's rate limit permits at `now`.
      */
     start(
         jobs: readonly OpenJob[],
@@ -102,6 +103,8 @@
         const isUnsent = (run: TaskRun): boolean => this.stateOf(run).inFlight.size === 0;
         const unsent = runs.filter(isUnsent);
         const sent = runs.filter(run => !isUnsent(run));
+        /** Routes whose targets all have as many calls as they may, so that no further call needs to be tried there. */
+        const fullRoutes = new Set<RewardRoute>();
         for (const run of [...unsent, ...sent]) {
             const state = this.stateOf(run);
             const isHedge = state.inFlight.size > 0;
@@ -110,10 +113,17 @@
             }
             const call = run.task.reward!;
             const route = routeOf(call, run.job);
+            if (route === undefined || fullRoutes.has(route)) {
+                continue;
+            }
+            if (route.targets.every(entry => !this.hasRoom(entry))) {
+                fullRoutes.add(route);
+                continue;
+            }
             const isLimited = (entry: TargetEntryView): boolean => availableAt(entry) < Infinity;
             const startedAt = (entry: TargetEntryView): number =>
                 attempts.filter(({ target: { target } }) => target === entry.target).length;
-            const targets = route?.targets ?? [];
+            const { targets } = route;
             // Targets with a rate limit come last, and get no second attempts while others may wait for theirs.
             const target = this.choose(targets.filter(entry => !isLimited(entry)), state, now) ?? (isHedge
                 ? undefined
@@ -122,7 +132,7 @@
                     state,
                     now,
                 ));
-            if (route !== undefined && target !== undefined) {
+            if (target !== undefined) {
                 attempts.push(this.begin(run, call, state, route, target, now));
             }
         }
@@ -198,11 +208,13 @@
             && hedged < Math.max(1, sentCount * maxHedgedShare);
     }
 
+    private hasRoom(entry: TargetEntryView): boolean {
+        const { inFlight, limit } = this.targetStateOf(entry);
+        return inFlight < limit;
+    }
+
     private choose(targets: readonly TargetEntryView[], state: CallState, now: Instant): TargetEntryView | undefined {
-        const free = targets.filter(entry => {
-            const { inFlight, limit } = this.targetStateOf(entry);
-            return inFlight < limit && !state.inFlight.has(entry.target);
-        });
+        const free = targets.filter(entry => this.hasRoom(entry) && !state.inFlight.has(entry.target));
         return this.selector.choose(free, state.lastTarget === undefined ? [] : [state.lastTarget], now);
     }
 
--- a/packages/rollout/src/lib/RewardRunner.ts
+++ b/packages/rollout/src/lib/RewardRunner.ts
@@ -80,7 +80,8 @@
         this.queue.removeEnded(open);
         if (open.some(({ scoring }) => scoring.size > 0)) {
             const available = (target: TargetEntryView): number => this.permits.available(target, rewardsFlow, now);
-            this.queue.start(open, call => this.routeOf(call), now, available)
+            const routes = new Map<string, RewardRoute>();
+            this.queue.start(open, call => this.routeOf(call, routes), now, available)
                 .forEach(attempt => void this.send(attempt));
         }
         this.scheduleDispatch(now);
@@ -148,15 +149,22 @@
         stops?.forEach(stop => stop.abort());
     }
 
-    private routeOf({ host, path }: RewardCall): RewardRoute | undefined {
+    /** The route of a call; `known` keeps those of one dispatch, since all calls of a step have the same one. */
+    private routeOf({ host, path }: RewardCall, known: Map<string, RewardRoute>): RewardRoute | undefined {
         const route = this.view.routes?.find(host, path);
         const service = route === undefined ? undefined : drawService(route, this.random());
-        return route === undefined || service === undefined ? undefined : {
+        if (route === undefined || service === undefined) {
+            return undefined;
+        }
+        const key = `${route.id} ${service}`;
+        const found = known.get(key) ?? {
             targets: this.view.directory.targets.filter(entry => entry.service === service),
             maxAttempts: route.maxAttempts,
             hedgeAfterMs: route.targetLatencyMs,
             timeoutMs: route.timeoutMs,
         };
+        known.set(key, found);
+        return found;
     }
 
     /** Schedules the next dispatch after the one at `now`; a later time would miss a delay that has ended since. */
