Pass job calls on through another host while a host is cut off from conductor and store

Change: a host whose conductor does not answer it, though others say that it answers them, counts as cut off while the store is silent too: it is not ready, gives up such calls at once, and sends job calls through up to three hosts that reach the conductor (job-relay; earlier software does not know it, and the next host is tried). Without an answer of the relay a submission may be kept, as before.

--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -285,6 +285,23 @@
         | { readonly retryInMs: number; }
     );
 
+/** Names of the requests of job calls that hosts send to the conductor. */
+export type JobRequestName = "job-keep" | "job-read" | "job-body" | "job-end";
+
+/** How a request of a job call to the conductor ended; after "no-answer" the conductor may have carried it out. */
+export type JobRequestEnd<Name extends JobRequestName = JobRequestName> =
+    | { readonly kind: "answered"; readonly answer: PeerRequests[Name]["answer"]; }
+    | { readonly kind: "refused" | "not-sent" | "no-answer"; readonly detail: string; };
+
+/** A request of a job call that another host sends to the conductor, which has `ms` milliseconds to answer. */
+export type RelayedJobRequest = {
+    [Name in JobRequestName]: {
+        readonly name: Name;
+        readonly ask: PeerRequests[Name]["ask"];
+        readonly ms: number;
+    };
+}[JobRequestName];
+
 /** Parameters (`ask`) and response (`answer`) of each request between peers. */
 export interface PeerRequests {
     "member-probe": { readonly ask: GossipMessage; readonly answer: GossipMessage; };
@@ -413,6 +430,8 @@
         readonly ask: { readonly job: JobId; readonly organisation?: OrganisationId | undefined; };
         readonly answer: { readonly ended: true; } | JobUnknown;
     };
+    /** Passes a request of a job call on to the conductor, for a host that is cut off from it. */
+    "job-relay": { readonly ask: RelayedJobRequest; readonly answer: JobRequestEnd; };
     /** Reports the sender's requests in flight, by target. */
     "in-flight": {
         readonly ask: { readonly host: HostId; readonly counts: Readonly<Record<string, number>>; };
--- a/packages/rollout/src/lib/JobCallHandler.ts
+++ b/packages/rollout/src/lib/JobCallHandler.ts
@@ -14,6 +14,7 @@
     type Job,
     type JobAcceptance,
     type JobId,
+    type JobRequestName,
     type JobSubmission,
     type JobUnknown,
     mayAccessJob,
@@ -21,7 +22,6 @@
     type OrganisationId,
     pageOf,
     type PeerNetwork,
-    type PeerRequestName,
     type PeerRequests,
     type Problem,
     problem,
@@ -30,6 +30,7 @@
     type TaskId,
 } from "@tamarackpath/core";
 import { type Either, Left, Right } from "purify-ts";
+import { type ConductorCallOptions, ConductorCalls } from "./ConductorCalls.js";
 import { type ConductorTask } from "./ConductorTask.js";
 import { type JobRegistry } from "./JobRegistry.js";
 import { type JobStore, type StoreOutcome } from "./JobStore.js";
@@ -37,12 +38,10 @@
 import { StoredJobCalls, unknownJob } from "./StoredJobCalls.js";
 
 /** Options of a job call handler. */
-export interface JobCallOptions {
+export interface JobCallOptions extends ConductorCallOptions {
     readonly self: HostId;
     /** Upper limit of a page of results, in bytes. */
     readonly maxPageBytes: number;
-    /** True while this host is cut off from other zones and the store, so that another host serves callers better. */
-    readonly isCutOff: () => boolean;
 }
 
 /** Milliseconds that the conductor has for an answer in addition to the wait that the call allows. */
@@ -59,16 +58,18 @@
 /** Answers job calls at one host. */
 export class JobCallHandler {
     private readonly stored: StoredJobCalls;
+    private readonly calls: ConductorCalls;
 
     constructor(
         private readonly options: JobCallOptions,
         private readonly conductor: ConductorTask,
         private readonly registry: JobRegistry,
         private readonly jobs: JobStore,
-        private readonly peers: PeerNetwork,
+        peers: PeerNetwork,
         private readonly clock: Clock,
         private readonly journal: Journal,
     ) {
+        this.calls = new ConductorCalls(options, conductor, peers, clock, journal);
         this.stored = new StoredJobCalls(options, jobs, clock, journal);
         peers.handle("job-keep", submission => this.keepForPeer(submission));
         peers.handle("job-submit", async submission =>
@@ -153,21 +154,16 @@
             return { acceptance: await this.storeAndOpen(job, deadline), route: "self" };
         }
         let mayBeKept = false;
-        if (this.conductor.conductor !== undefined) {
-            const ms = Math.min(conductorSubmitTimeoutMs, msUntil(deadline, this.clock.now()));
-            const host = this.conductor.conductor;
-            const res = await this.peers.ask(
-                host,
-                "job-keep",
-                { job, deadlineMs: ms },
-                after(this.clock.now(), ms + 200),
-            );
-            const answer = res.toMaybe().chain(inner => inner.toMaybe()).extract();
-            if (answer?.outcome === "kept" || answer?.outcome === "ended" || answer?.outcome === "other-owner") {
-                return { acceptance: answer, route: host };
+        const ms = Math.min(conductorSubmitTimeoutMs, msUntil(deadline, this.clock.now()));
+        const end = await this.calls.ask("job-keep", { job, deadlineMs: ms }, ms + 200);
+        if (end.kind === "answered") {
+            const { outcome } = end.answer;
+            if (outcome === "kept" || outcome === "ended" || outcome === "other-owner") {
+                return { acceptance: end.answer, route: this.conductor.conductor ?? "relay" };
             }
-            mayBeKept = answer?.outcome === "unknown" || res.isLeft() && res.extract().reason === "no-answer";
+            mayBeKept = outcome === "unknown";
         }
+        mayBeKept ||= end.kind === "no-answer";
         const outcome = await this.jobs.keep(job, deadline, this.options.isCutOff);
         const isUnsure = outcome === "not-kept" && mayBeKept;
         return { acceptance: { outcome: isUnsure ? "unknown" : acceptedAs(outcome) }, route: "store" };
@@ -262,17 +258,13 @@
         return hasEnded ? Right({ ended: true }) : Left(notConductor);
     }
 
-    private async requestFromConductor<Name extends PeerRequestName>(
+    private async requestFromConductor<Name extends JobRequestName>(
         name: Name,
         ask: PeerRequests[Name]["ask"],
         ms: number,
     ): Promise<Either<Problem, PeerRequests[Name]["answer"]>> {
-        const host = this.conductor.conductor;
-        if (host === undefined) {
-            return Left(notConductor);
-        }
-        const res = await this.peers.ask(host, name, ask, after(this.clock.now(), ms));
-        return res.mapLeft(failure => problem("unavailable", failure.detail)).join();
+        const end = await this.calls.ask(name, ask, ms);
+        return end.kind === "answered" ? Right(end.answer) : Left(problem("unavailable", end.detail));
     }
 
     private async waitForListing(job: JobId, deadline: Instant): Promise<void> {
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -255,7 +255,12 @@
             journal,
         );
         this.jobCalls = new JobCallHandler(
-            { self, maxPageBytes, isCutOff: () => this.isCutOff },
+            {
+                self,
+                maxPageBytes,
+                isCutOff: () => this.isCutOff,
+                chooseRelay: tried => this.relays.choose(tried, clock.now()),
+            },
             this.conductor,
             this.registry,
             jobs,
@@ -372,9 +377,13 @@
         }
     }
 
-    /** True while this host reaches neither the store nor any host of another zone, and does not conduct. */
+    /**
+     * True while this host, which does not conduct, reaches neither the store nor any host of another zone, or neither the
+     * store nor the conductor that others reach.
+     */
     get isCutOff(): boolean {
-        return !this.ports.store.isReachable && !this.conductor.isConductor && this.viewTask.isCutOff;
+        return !this.ports.store.isReachable && !this.conductor.isConductor
+            && (this.viewTask.isCutOff || this.viewTask.isIsolated);
     }
 
     start(): void {
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -55,6 +55,9 @@
 /** Milliseconds without an answer from outside the zone after which a host counts as cut off. */
 const cutOffDelayMs = 300;
 
+/** Milliseconds for which another host's statement that it follows a conductor counts: longer than a failed pull takes. */
+const othersFollowTtlMs = 3000;
+
 /** Milliseconds that a host has to confirm that it still conducts: far above a round trip between zones. */
 const conductorCheckTimeoutMs = 250;
 
@@ -91,6 +94,8 @@
     private stopped = false;
     private noAnswerSince: Instant | undefined;
     private hasConductorAnswered = false;
+    /** Until when another host's statement counts that a conductor answers it. */
+    private othersFollowUntil = -Infinity as Instant;
     /** Number of consecutive pulls without an answer. */
     private missedPulls = 0;
     private readonly pulls: PullResponder;
@@ -131,6 +136,15 @@
         return this.noAnswerSince !== undefined && this.clock.now() - this.noAnswerSince > cutOffDelayMs;
     }
 
+    /**
+     * True while the conductor does not answer this host, though others say that it answers them. If the store does not answer
+     * either, other hosts can take jobs and this one cannot; while all hosts lack the conductor, waiting for it serves callers
+     * better.
+     */
+    get isIsolated(): boolean {
+        return !this.hasConductorAnswered && this.othersFollowUntil > this.clock.now();
+    }
+
     /** Hosts that pulled this host's view recently. */
     get followers(): readonly Follower[] {
         return this.pulls.followers;
@@ -351,6 +365,9 @@
     private async requestFromSeeds(): Promise<boolean> {
         const answers = await this.requestConductors(this.options.seeds);
         const latest = latestClaim(answers);
+        if (latest !== undefined) {
+            this.othersFollowUntil = after(this.clock.now(), othersFollowTtlMs);
+        }
         this.conductor.adoptReportedConductor(latest?.conductor, latest?.fence);
         return answers.some(({ zone }) => zone !== this.options.zone);
     }
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -46,6 +46,8 @@
     "job-refused": "A job was refused; nothing of it runs.",
     "job-of-other-owner": "A job was refused, because another organisation submitted one under its id.",
     "job-unsure": "It is not known whether a job is stored.",
+    "job-call-relayed":
+        "A job call was sent to the conductor through another host, since this host reaches neither it nor the store.",
     "job-opened": "The conductor has begun to run a job.",
     "job-ended": "A job has ended.",
     "starts-held": "The conductor begins or ends to hold tasks back, since ends of jobs may be unknown to it.",
--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -5,7 +5,6 @@
     asId,
     type Clock,
     type ConfigRevision,
-    type DutyPlatform,
     type ForwardedCall,
     type ForwardOutcome,
     type GroupId,
