Give no final answer about an owned job at an outdated host

Cause: a host whose configuration did not have the organisations yet, or had a key under its former organisation, answered reads and ends of an owned job with 404 and a repeated submission with 409. The conductor also told a host that named no organisation, as earlier software, that the job was unknown, which that host takes for final.

The conductor leaves hosts that name no organisation to the store, as organisations.md said.

--- a/packages/core/src/lib/organisations/admitRequest.ts
+++ b/packages/core/src/lib/organisations/admitRequest.ts
@@ -51,6 +51,15 @@
 
 const unproven: RequestAdmission = { kind: "unproven", retryAfterMs: unprovenRetryAfterMs };
 
+/**
+ * Whether the configuration in force may lack a change that has to be in force. What depends on that change is then not
+ * refused for good: an unknown credential may have been added, and the organisation of a job or the owner of a credential
+ * may be known only to a newer configuration.
+ */
+export function mayBeOutOfDate(proofAgeMs: number, { configDeadlineMs }: AdmissionLimits): boolean {
+    return proofAgeMs >= configDeadlineMs;
+}
+
 /** Decides about a request that is ready to be forwarded or stored. */
 export function admitRequest({ table, route, digest, proofAgeMs, limits }: AdmissionInputs): RequestAdmission {
     if (table === undefined || route.isPublic === true) {
@@ -58,7 +67,7 @@
     }
     const found = digest === undefined ? undefined : table.find(digest);
     if (found === undefined) {
-        return proofAgeMs < limits.configDeadlineMs ? { kind: "unknown-credential" } : unproven;
+        return mayBeOutOfDate(proofAgeMs, limits) ? unproven : { kind: "unknown-credential" };
     }
     const mayBeRevoked = limits.revocationMs !== undefined && proofAgeMs >= limits.revocationMs - revocationMarginMs;
     return mayBeRevoked ? unproven : { kind: "admitted", organisation: found.id, priority: found.priority };
--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -262,6 +262,8 @@
 /** The job, or the task of the job, does not exist, or belongs to another organisation. */
 export interface JobUnknown {
     readonly unknown: true;
+    /** Set if the job exists and belongs to another organisation; earlier software does not tell. */
+    readonly isOwned?: true;
 }
 
 /** Asks for a permit for one request to a target with a rate limit. */
--- a/packages/rollout/src/lib/JobCallHandler.ts
+++ b/packages/rollout/src/lib/JobCallHandler.ts
@@ -34,7 +34,7 @@
 import { type JobRegistry } from "./JobRegistry.js";
 import { type JobStore, type StoreOutcome } from "./JobStore.js";
 import { type Journal } from "./Journal.js";
-import { StoredJobCalls, unknownJob } from "./StoredJobCalls.js";
+import { ownedJob, StoredJobCalls, unknownJob } from "./StoredJobCalls.js";
 
 /** Options of a job call handler. */
 export interface JobCallOptions {
@@ -202,9 +202,13 @@
         return mayAccessJob(this.registry.ownerOf(job), organisation);
     }
 
-    /** The answer about a job of another organisation, for certain only while this host is certain to conduct. */
-    private deny(): Either<Problem, JobUnknown> {
-        return this.conductor.isSure ? Right(unknownJob) : Left(notConductor);
+    /**
+     * The answer about a job of another organisation, for certain only while this host is certain to conduct. A host of
+     * earlier software names no organisation and takes this answer for final although its caller may own the job, so a host
+     * that names none reads the store.
+     */
+    private deny(organisation: OrganisationId | undefined): Either<Problem, JobUnknown> {
+        return organisation !== undefined && this.conductor.isSure ? Right(ownedJob) : Left(notConductor);
     }
 
     private async readLocally(
@@ -223,7 +227,7 @@
                 return Left(notConductor);
             }
             if (!mayAccessJob(known.organisation, organisation)) {
-                return this.deny();
+                return this.deny(organisation);
             }
             const { log, total } = known;
             const isWhole = log.listed.length >= total || this.registry.hasEnded(job);
@@ -242,7 +246,7 @@
     ): Either<Problem, { readonly body: Uint8Array; } | JobUnknown> {
         const open = this.conductor.isConductor ? this.registry.scheduler.get(job) : undefined;
         if (!mayAccessJob(open?.job.organisation, organisation)) {
-            return this.deny();
+            return this.deny(organisation);
         }
         const known = open?.job.tasks.find(({ id }) => id === task);
         if (known === undefined && this.conductor.isSure && this.registry.hasEnded(job)) {
@@ -256,7 +260,7 @@
         organisation: OrganisationId | undefined,
     ): Promise<Either<Problem, { readonly ended: true; } | JobUnknown>> {
         if (!this.isOpenTo(job, organisation)) {
-            return this.deny();
+            return this.deny(organisation);
         }
         const hasEnded = this.conductor.isSure && await this.registry.end(job);
         return hasEnded ? Right({ ended: true }) : Left(notConductor);
--- a/packages/rollout/src/lib/StoredJobCalls.ts
+++ b/packages/rollout/src/lib/StoredJobCalls.ts
@@ -24,9 +24,12 @@
 /** Milliseconds that the store has to answer a read that the conductor could not answer for certain. */
 const storeReadTimeoutMs = 1500;
 
-/** The answer about a job that does not exist, or that another organisation submitted. */
+/** The answer about a job that does not exist. */
 export const unknownJob: JobUnknown = { unknown: true };
 
+/** The answer about a job that another organisation submitted. */
+export const ownedJob: JobUnknown = { unknown: true, isOwned: true };
+
 /** Answers job calls from the store. A problem means that the store did not answer. */
 export class StoredJobCalls {
     constructor(
@@ -45,9 +48,12 @@
         const found = await this.jobs.find(job);
         const chunks = found.isLeft() || this.clock.now() > deadline ? undefined : await this.jobs.results(job);
         return found.bimap(failure => this.unsure(job, failure.detail), stored => stored).chain(stored => {
-            if (stored.kind === "absent" || !mayAccessJob(ownerOf(stored), organisation)) {
+            if (stored.kind === "absent") {
                 return Right(unknownJob);
             }
+            if (!mayAccessJob(ownerOf(stored), organisation)) {
+                return Right(ownedJob);
+            }
             const total = stored.kind === "open" ? stored.job.tasks.length : stored.ended.total;
             return chunks === undefined
                 ? Left(this.unsure(job, "The store answers too slowly."))
@@ -65,9 +71,10 @@
     ): Promise<Either<Problem, { readonly body: Uint8Array; } | JobUnknown>> {
         const found = await this.jobs.find(job);
         return found.bimap(failure => problem("unavailable", failure.detail), stored => {
-            const known = stored.kind === "open" && mayAccessJob(ownerOf(stored), organisation)
-                ? stored.job.tasks.find(({ id }) => id === task)
-                : undefined;
+            if (!mayAccessJob(ownerOf(stored), organisation)) {
+                return ownedJob;
+            }
+            const known = stored.kind === "open" ? stored.job.tasks.find(({ id }) => id === task) : undefined;
             return known === undefined ? unknownJob : { body: known.body };
         });
     }
@@ -81,9 +88,12 @@
         if (stored === undefined) {
             return Left(problem("unavailable", "The store cannot be asked."));
         }
-        if (stored.kind === "absent" || !mayAccessJob(ownerOf(stored), organisation)) {
+        if (stored.kind === "absent") {
             return Right(unknownJob);
         }
+        if (!mayAccessJob(ownerOf(stored), organisation)) {
+            return Right(ownedJob);
+        }
         if (stored.kind === "ended") {
             return Right({ ended: true });
         }
--- a/packages/rollout/src/lib/organisations.test.ts
+++ b/packages/rollout/src/lib/organisations.test.ts
@@ -227,7 +227,8 @@
     }
 
     async function endAs(host: RolloutHost, organisation: OrganisationId | undefined): Promise<string> {
-        return Object.keys((await host.jobCalls.end(id, organisation)).unsafeCoerce()).join();
+        const res = (await host.jobCalls.end(id, organisation)).unsafeCoerce();
+        return "unknown" in res ? "unknown" : "ended";
     }
 
     const submitAs = async (host: RolloutHost, organisation: OrganisationId | undefined): Promise<string> =>
@@ -255,6 +256,25 @@
         });
     }
 
+    // Guards against a final 404 for the owner, at a host of earlier software, which names no organisation.
+    it("are not denied by the conductor to a host that names no organisation, which reads the store", async () => {
+        fleet = await startOrganisedFleet(storedFixture(), {
+            behaviour: () => ({ ms: 60_000, rateLimit: { kind: "none" } }),
+        });
+        expect(await fleet.submit(jobFixture())).to.equal("kept");
+        const { follower } = hostsByPath();
+        const get = fleet.store.get.bind(fleet.store);
+        let reads = 0;
+        fleet.store.get = (key, ...rest) => {
+            reads += key === jobKeys.open(id) ? 1 : 0;
+            return get(key, ...rest);
+        };
+        expect([await readAs(follower, stranger), reads]).to.deep.equal(["unknown", 0]);
+        expect([await readAs(follower, undefined), reads]).to.deep.equal(["unknown", 1]);
+        expect([await bodyAs(follower, undefined), reads]).to.deep.equal(["unknown", 2]);
+        expect([await endAs(follower, undefined), reads]).to.deep.equal(["unknown", 3]);
+    });
+
     it("run with their organisation and its priority, also once it is removed from the configuration", async () => {
         const stored = storedFixture();
         fleet = await startOrganisedFleet(stored, {
