--- a/packages/rollout/src/lib/HostView.ts
+++ b/packages/rollout/src/lib/HostView.ts
@@ -44,6 +44,11 @@
         return this.routeTable;
     }
 
+    /** Whether the configuration in force has organisations. */
+    get hasOrganisations(): boolean {
+        return this.routeTable?.organisations !== undefined;
+    }
+
     get retiring(): readonly string[] {
         return this.retiringHosts;
     }
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -361,7 +361,7 @@
                 task: run.task,
                 host: job.host,
                 organisation: job.organisation,
-                hasOrganisations: this.view.routes?.organisations !== undefined,
+                hasOrganisations: this.view.hasOrganisations,
                 afterEvent: resumedAfter,
                 maxConnections: slotsOf(entry, spec),
                 permit: this.permits.take(entry, tasksFlow),
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -175,8 +175,7 @@
             return;
         }
         const startedAt = this.clock.now();
-        const hasOrganisations = this.view.routes?.organisations !== undefined;
-        const seen = await this.documents.awaitOperatorChange(configWatchWaitMs(hasOrganisations));
+        const seen = await this.documents.awaitOperatorChange(configWatchWaitMs(this.view.hasOrganisations));
         seen.ifRight(read => this.view.applyOperatorRead(read, startedAt));
         if (seen.isLeft()) {
             await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
