Find the end mark of a job whose parts vanish while it is read

Cause: a job in parts that ends between the reads of its head and its parts was taken for absent, which gives a final 404 for a job that exists. Run: JobStore.test.ts (the new test got absent before the change)

--- a/packages/rollout/src/lib/JobStore.test.ts
+++ b/packages/rollout/src/lib/JobStore.test.ts
@@ -99,6 +99,19 @@
     });
 
     // Guards against an organisation that takes over the id of another one's job.
+    // Guards against a 404 for a job that exists, which is stored in parts and ends while it is read.
+    it("finds the end mark of a job whose parts are removed between the reads of its head and its parts", async () => {
+        const { store, jobs, soon } = fixture();
+        const job = jobFixture(900_000);
+        await jobs.keep(job, soon(), () => false);
+        const range = store.range.bind(store);
+        store.range = async (...args) => {
+            await jobs.end(job.id, 1, partsOf(job));
+            return range(...args);
+        };
+        expect((await jobs.find(job.id)).unsafeCoerce().kind).to.equal("ended");
+    });
+
     it("refuses a job under the id of another organisation's, whatever its size, also after its end", async () => {
         for (const bytes of [10, 2_000_000]) {
             const { jobs, soon } = fixture();
--- a/packages/rollout/src/lib/JobStore.ts
+++ b/packages/rollout/src/lib/JobStore.ts
@@ -125,9 +125,15 @@
         const open = await this.store.get(jobKeys.open(job), "jobs");
         const item = open.toMaybe().extract();
         if (item !== undefined) {
-            return (await this.readOpen(item)).map(found =>
-                found === undefined ? { kind: "absent" } : { kind: "open", job: found }
-            );
+            const read = await this.readOpen(item);
+            const known = read.toMaybe().extract();
+            if (known !== undefined) {
+                return Right({ kind: "open", job: known });
+            }
+            if (read.isLeft()) {
+                return read.map(() => ({ kind: "absent" }));
+            }
+            // Parts are missing: the job has ended since its head was read.
         }
         if (open.isLeft()) {
             return open.map(() => ({ kind: "absent" }));
