Admit tasks to engines by memory and by a budget of prompt tokens

Cause: tasks are placed by free slots only. Long prompts pile up at an engine, which prefills them in chunks of 2,048 tokens between the events of its runs, and delay the short prompts behind them; nothing keeps prompts and texts within the engine's memory.

Change: the headers Tamarackpath-Prompt-Prefix and Tamarackpath-Token-Usage are decoded into Task.prompt and Task.usage. EngineMemory counts the tokens that this host has placed at each engine (a shared prompt once per group and engine) and admits up to 0.9 of the memory. PromptBudget admits up to 2,048 prompt tokens being prefilled per engine, from a run's start to its first event; a longer prompt goes alone. Within a job, long prompts go after shorter ones; a task passed over for 300 ms gets an engine reserved. Tasks without these headers are admitted as before. The runner reads the engines' capacities once per dispatch, and PaceTracker keeps the median, since both were read anew for each assignment.

--- a/packages/core/src/lib/jobs/JobScheduler.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.ts
@@ -23,7 +23,10 @@
 import { chooseEngine, type EngineCapacity } from "./enginePlacement.js";
 import { type Job, type Task, type TaskResult } from "./Job.js";
 import { type JobLog } from "./JobLog.js";
+import { ageingMs } from "./PromptBudget.js";
+import { type PromptSize, promptSizeOf } from "./promptSize.js";
 import { fitSoftware } from "./softwareFit.js";
+import { TaskAdmission, type WaitReason } from "./TaskAdmission.js";
 import { orderTasks } from "./taskOrder.js";
 import { type ProgressSnapshot, TaskProgress, type TextId } from "./TaskProgress.js";
 
@@ -44,6 +47,8 @@
     readonly task: Task;
     readonly job: OpenJob;
     readonly progress: TaskProgress;
+    /** Undefined if the task does not describe its prompt. */
+    readonly size: PromptSize | undefined;
     /** Number of runs that an engine answered with a failure. */
     failures: number;
     /** The task is not started before this time. */
@@ -58,6 +63,10 @@
     softwareWaitUntil: Instant | undefined;
     /** Number of times that its text has begun again because no engine could go on with it. */
     restarts: number;
+    /** Since when it waits although an engine had a free slot; undefined while it does not. */
+    passedOverSince: Instant | undefined;
+    /** Why no engine admitted it when it was last considered; undefined if one did or none had a free slot. */
+    blockedBy: WaitReason | undefined;
 }
 
 /** A job that has not ended. */
@@ -89,6 +98,12 @@
     readonly software: SoftwareVersion | undefined;
 }
 
+/** A run to start, and the engines that may start it. */
+interface RunChoice {
+    readonly run: TaskRun;
+    readonly engines: readonly EngineCapacity[];
+}
+
 /** How a run ended. After "broken" the next run resumes after the text read so far. */
 export type RunEnd = "completed" | "failed" | "impossible" | "broken" | "not-run";
 
@@ -106,6 +121,9 @@
     private readonly jobs = new Map<JobId, OpenJob>();
     private readonly retainedTexts = new Map<TaskId, TaskProgress>();
     private readonly groupTargets = new Map<GroupId, TargetId>();
+    private readonly admission = new TaskAdmission();
+    /** Jobs for which no engine had a free slot when they were last considered. */
+    private readonly withoutSlots = new Set<JobId>();
 
     /** `newTextId` returns an id that is unique across hosts. */
     constructor(readonly newTextId: () => TextId) {}
@@ -142,6 +160,7 @@
                 task,
                 job: open,
                 progress: this.takeRetained(task.id, job.minVersion, terms.singleVersion),
+                size: promptSizeOf(task),
                 failures: 0,
                 notBefore: 0 as Instant,
                 target: undefined,
@@ -149,6 +168,8 @@
                 preferredTarget: undefined,
                 softwareWaitUntil: undefined,
                 restarts: 0,
+                passedOverSince: undefined,
+                blockedBy: undefined,
             };
             if (!run.progress.isComplete) {
                 open.waiting.push(run);
@@ -175,7 +196,11 @@
         }
         this.jobs.delete(id);
         unfinished(open).forEach(run => this.retainText(run.task.id, run.progress));
-        open.job.tasks.forEach(task => this.groupTargets.delete(task.group));
+        open.running.forEach(run => this.admission.end(run));
+        const groups = new Set(open.job.tasks.map(({ group }) => group));
+        groups.forEach(group => this.groupTargets.delete(group));
+        this.admission.memory.forgetGroups(groups);
+        this.withoutSlots.delete(id);
         return [...open.running, ...open.scoring];
     }
 
@@ -227,7 +252,12 @@
         const waiting = open.waiting.filter(run => !isFinished(run));
         open.waiting.splice(0, open.waiting.length, ...waiting);
         const stopped = [...open.running, ...open.scoring].filter(isFinished);
-        stopped.forEach(run => open.running.delete(run) || open.scoring.delete(run));
+        for (const run of stopped) {
+            if (open.running.delete(run)) {
+                this.admission.end(run);
+            }
+            open.scoring.delete(run);
+        }
         return stopped;
     }
 
@@ -241,41 +271,93 @@
 
     /**
      * The next task to start at `now`, or undefined if none can start. It counts as running from this call on. `listed`
-     * returns the software of a service's engines, with those that have no room at present.
+     * returns the software of a service's engines, with those that have no room at present. `wallNow` is the same time
+     * in the clock of the due times.
      */
     next(
         engines: readonly EngineCapacity[],
         now: Instant,
         listed: (service: ServiceId) => ReadonlySet<SoftwareVersion> = () => new Set(),
+        wallNow: Instant = now,
     ): TaskAssignment | undefined {
+        this.admission.budget.dropReservations(run => this.isWaiting(run), now);
         const jobs = [...this.jobs.values()].sort((a, b) => a.terms.dueAt - b.terms.dueAt);
         for (const open of jobs) {
             const available = engines.filter(engine => engine.running < engine.slots && canServe(engine, open));
             if (available.length === 0) {
+                this.withoutSlots.add(open.job.id);
                 continue;
             }
-            const inService = listed(open.terms.service);
-            for (const run of open.waiting) {
-                if (run.notBefore > now) {
-                    continue;
-                }
-                const fit = fitSoftware(run, available, inService, now);
-                if (fit.kind === "wait") {
-                    run.softwareWaitUntil = fit.until;
-                    continue;
-                }
-                const engine = chooseEngine(run, fit.engines, this.groupTargets.get(run.task.group));
-                return { run, target: engine.target, discarded: this.start(run, engine, now) };
+            this.withoutSlots.delete(open.job.id);
+            const choice = this.choose(open, available, listed(open.terms.service), now, wallNow);
+            if (choice !== undefined) {
+                const engine = chooseEngine(choice.run, choice.engines, this.groupTargets.get(choice.run.task.group));
+                return { run: choice.run, target: engine.target, discarded: this.start(choice.run, engine, now) };
             }
         }
         return undefined;
     }
 
+    /** The next run of a job that an engine admits, with its engines. A long prompt goes after shorter ones. */
+    private choose(
+        open: OpenJob,
+        available: readonly EngineCapacity[],
+        inService: ReadonlySet<SoftwareVersion>,
+        now: Instant,
+        wallNow: Instant,
+    ): RunChoice | undefined {
+        let yielding: RunChoice | undefined;
+        const pass = this.admission.beginPass(available);
+        for (const run of open.waiting) {
+            if (run.notBefore > now || this.admission.isRefused(pass, run, now)) {
+                continue;
+            }
+            const fit = fitSoftware(run, available, inService, now);
+            if (fit.kind === "wait") {
+                run.softwareWaitUntil = fit.until;
+                this.admission.budget.cancelReservation(run);
+                continue;
+            }
+            const engines = this.admission.admit(pass, run, fit.engines, now);
+            if (engines.length === 0) {
+                continue;
+            }
+            if (!this.admission.yields(run, engines, now, wallNow)) {
+                return { run, engines };
+            }
+            yielding ??= { run, engines };
+        }
+        return yielding;
+    }
+
+    /** Records the first event of a run. Returns whether its engine may therefore admit further prompts. */
+    recordFirstEvent(run: TaskRun): boolean {
+        return this.admission.recordFirstEvent(run);
+    }
+
+    /** Number of tasks that may start at `now` and wait, by reason. */
+    waitingByReason(now: Instant): Readonly<Record<WaitReason, number>> {
+        const counts = { "memory": 0, "prompt-budget": 0, "slots": 0 };
+        for (const open of this.jobs.values()) {
+            const lacksSlots = this.withoutSlots.has(open.job.id);
+            for (const { notBefore, blockedBy } of open.waiting) {
+                if (notBefore <= now) {
+                    counts[lacksSlots ? "slots" : blockedBy ?? "slots"]++;
+                }
+            }
+        }
+        return counts;
+    }
+
     /** When the next delayed task may run or stop waiting, or undefined if there is none. */
     nextRetryAt(now: Instant): Instant | undefined {
         const times = this.open.flatMap(open =>
-            open.waiting.flatMap(({ notBefore, softwareWaitUntil }) => [notBefore, softwareWaitUntil ?? now])
-        ).filter(at => at > now);
+            open.waiting.flatMap(({ notBefore, softwareWaitUntil, passedOverSince }) => [
+                notBefore,
+                softwareWaitUntil ?? now,
+                passedOverSince === undefined ? now : after(passedOverSince, ageingMs),
+            ])
+        ).concat(this.admission.budget.nextExpiryAt ?? now).filter(at => at > now);
         return times.length === 0 ? undefined : Math.min(...times) as Instant;
     }
 
@@ -285,6 +367,7 @@
      */
     end(run: TaskRun, outcome: RunEnd, now: Instant): TaskResult | undefined {
         run.job.running.delete(run);
+        this.admission.end(run);
         const lastTarget = run.target;
         run.target = undefined;
         if (outcome === "completed") {
@@ -314,6 +397,10 @@
         });
     }
 
+    private isWaiting(run: TaskRun): boolean {
+        return this.jobs.get(run.job.job.id) === run.job && run.job.waiting.includes(run);
+    }
+
     /** Returns the result of a task with a complete text, or lets it wait for its score. */
     private complete(run: TaskRun): TaskResult | undefined {
         if (run.task.reward === undefined) {
@@ -348,6 +435,7 @@
             run.restarts++;
             progress.reset(this.newTextId());
         }
+        this.admission.start(run, engine);
         const { target, incarnation, software } = engine;
         progress.beginRun({ target, incarnation, software, startedAt: now });
         return discarded;
--- a/packages/core/src/lib/jobs/PaceTracker.ts
+++ b/packages/core/src/lib/jobs/PaceTracker.ts
@@ -44,9 +44,15 @@
 /** Tracks the pace of a set of engines. */
 export class PaceTracker {
     private readonly paces = new Map<TargetId, Pace>();
+    private revision = 0;
+    /** The last median, which is asked for once for each engine. */
+    private median:
+        | { readonly now: Instant; readonly revision: number; readonly gapMs: number | undefined; }
+        | undefined;
 
     /** Records the milliseconds between two events of a run. */
     recordGap(target: TargetId, gapMs: number, now: Instant): void {
+        this.revision++;
         const known = this.paces.get(target);
         if (known === undefined) {
             const pace = { gapMs, samples: 1, seenAt: now, windowMs: 0, windowGaps: 0, usualGapMs: undefined };
@@ -84,6 +90,13 @@
     }
 
     private medianGapMs(now: Instant): number | undefined {
+        if (this.median?.now !== now || this.median.revision !== this.revision) {
+            this.median = { now, revision: this.revision, gapMs: this.calculateMedianGapMs(now) };
+        }
+        return this.median.gapMs;
+    }
+
+    private calculateMedianGapMs(now: Instant): number | undefined {
         const gaps = [...this.paces.keys()].flatMap(target => this.currentGapMs(target, now) ?? []).sort((a, b) =>
             a - b
         );
--- a/packages/core/src/lib/jobs/enginePlacement.ts
+++ b/packages/core/src/lib/jobs/enginePlacement.ts
@@ -23,6 +23,8 @@
     readonly incarnation: Incarnation;
     /** The engine's software, or undefined while it is unknown. */
     readonly software: SoftwareVersion | undefined;
+    /** Its memory in tokens; undefined or 0 while that is unknown. */
+    readonly memoryTokens?: number | undefined;
     /** Whether a release replaces the engines with this software. */
     readonly isBeingReplaced?: boolean;
 }
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -26,6 +26,7 @@
     type TaskAssignment,
     type TaskRun,
     type TaskRunOutcome,
+    type WaitReason,
 } from "@tamarackpath/core";
 import { EngineBackoff } from "./EngineBackoff.js";
 import { type HostView } from "./HostView.js";
@@ -135,6 +136,11 @@
         return this.scheduler.open.some(open => open.waiting.length > 0);
     }
 
+    /** Number of tasks that may start and wait, by reason. */
+    waitingByReason(): Readonly<Record<WaitReason, number>> {
+        return this.scheduler.waitingByReason(this.clock.now());
+    }
+
     activate(): void {
         if (!this.isActive) {
             this.isActive = true;
@@ -192,39 +198,48 @@
             return;
         }
         const now = this.clock.now();
+        const wallNow = Date.now() as Instant;
+        const capacities = this.hasWaiting ? [...this.engineCapacities()] : [];
         for (;;) {
             const next = this.hasWaiting
-                ? this.scheduler.next(this.engineCapacities(), now, service => this.listedSoftware(service))
+                ? this.scheduler.next(capacities, now, service => this.listedSoftware(service), wallNow)
                 : undefined;
             if (next === undefined) {
                 break;
             }
             void this.run(next);
+            // Only the engine that has started the run has another load than before.
+            const place = capacities.findIndex(({ target }) => target === next.target);
+            capacities.splice(place, 1, ...this.capacityOf(this.view.directory.get(next.target)!, now));
         }
         this.scheduleDispatch(now);
     }
 
     private engineCapacities(): readonly EngineCapacity[] {
         const now = this.clock.now();
-        return this.view.directory.targets.flatMap(entry => {
-            const spec = this.view.routes?.service(entry.service);
-            if (spec?.engine === undefined || entry.leaving || this.backoff.isBackingOff(entry, now)) {
-                return [];
-            }
-            const running = this.runningAt(entry.target);
-            return [{
-                target: entry.target,
-                service: entry.service,
-                slots: Math.min(slotsOf(entry, spec), running + this.permits.available(entry, tasksFlow, now)),
-                running,
-                versionOf: model => this.versions.versionOf(entry, model, now),
-                speed: this.paceTracker.speedOf(entry.target, now),
-                usualGapMs: this.paceTracker.usualGapMs(entry.target),
-                incarnation: entry.incarnation,
-                software: this.view.software.of(entry),
-                isBeingReplaced: this.view.releases.isBeingReplaced(entry.service, entry.software, now),
-            }];
-        });
+        return this.view.directory.targets.flatMap(entry => this.capacityOf(entry, now));
+    }
+
+    /** The capacity of a target if it is an engine that may be used now. */
+    private capacityOf(entry: TargetEntryView, now: Instant): readonly EngineCapacity[] {
+        const spec = this.view.routes?.service(entry.service);
+        if (spec?.engine === undefined || entry.leaving || this.backoff.isBackingOff(entry, now)) {
+            return [];
+        }
+        const running = this.runningAt(entry.target);
+        return [{
+            target: entry.target,
+            service: entry.service,
+            slots: Math.min(slotsOf(entry, spec), running + this.permits.available(entry, tasksFlow, now)),
+            running,
+            versionOf: model => this.versions.versionOf(entry, model, now),
+            speed: this.paceTracker.speedOf(entry.target, now),
+            usualGapMs: this.paceTracker.usualGapMs(entry.target),
+            incarnation: entry.incarnation,
+            software: this.view.software.of(entry),
+            memoryTokens: spec.engine.memoryTokens,
+            isBeingReplaced: this.view.releases.isBeingReplaced(entry.service, entry.software, now),
+        }];
     }
 
     /** The software of a service's engines that stay, with those that have no room or are in backoff. */
@@ -305,7 +320,7 @@
                     });
                     return false;
                 }
-                this.recordEvent(running);
+                this.recordEvent(run, running);
                 if (!run.progress.versions.includes(version)) {
                     this.versions.recordServedVersion(entry, job.model, version);
                 }
@@ -349,14 +364,18 @@
         this.settle(run, entry, end, isTooOld);
     }
 
-    private recordEvent(running: RunningTask): void {
+    private recordEvent(run: TaskRun, running: RunningTask): void {
         const now = this.clock.now();
         // The gap of a pause for a change of weights says nothing about the engine's pace.
         if (running.hasEvents && !this.versions.isChanging(running.target, now)) {
             this.paceTracker.recordGap(running.target, now - running.lastEventAt, now);
         }
+        const isFirst = !running.hasEvents;
         running.hasEvents = true;
         running.lastEventAt = now;
+        if (isFirst && this.scheduler.recordFirstEvent(run) && this.hasWaiting) {
+            this.dispatch();
+        }
     }
 
     /** Stops runs that send no events, or that are much slower than engines with free slots, to resume them there. */
@@ -482,6 +501,10 @@
         }
         this.cancelExpiry = this.clock.callAt(after(this.clock.now(), expiryIntervalMs), () => this.expire());
         this.registry.dropEndedFromMemory();
+        const { memory, slots, "prompt-budget": promptBudget } = this.waitingByReason();
+        if (memory + promptBudget > 0) {
+            this.journal.log("tasks-waiting", { memory, promptBudget, slots });
+        }
         // Submission times are wall-clock times of other hosts, so they are compared with this host's wall clock.
         const wallNow = Date.now() as ReturnType<Clock["now"]>;
         this.scheduler.expire(wallNow).forEach(({ open, result }) => this.registry.addResult(open, result));
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -40,6 +40,7 @@
     "job-opened": "The conductor has begun to run a job.",
     "job-ended": "A job has ended.",
     "task-started": "A task's run at an engine has started.",
+    "tasks-waiting": "Tasks wait although engines have free slots; how many wait for memory, prompts and slots.",
     "event-rejected": "An event does not come next in its text; the run ends, and nothing of it from there on is used.",
     "task-ended": "A task's run at an engine ended, and how.",
     "text-restarted": "A text is discarded and begins again, because no engine may go on with it.",
