Order jobs by need while slots are short

Cause: jobs get slots strictly by due time, each as a whole, so surplus groups of the steps that are due first keep the needed groups of later ones waiting, and one of four trainers bears most of a shortage.

Change: JobDemands sums what each step still needs (groupNeeds: the groups with the least work left, up to the missing number; kept until a task ends or for 200 ms), and jobOrder orders the jobs. With at least 2 s of slack for each step at an equal share of the slots, the order is the earlier one. Otherwise needed tasks of all jobs go before surplus ones, by due time in steps of 1 s, then by the trainers' slots; a trainer below half of its equal share goes first once its earliest step cannot be on time at that share. EventLengths learns how many events a text has.

--- a/packages/core/src/lib/jobs/JobScheduler.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.ts
@@ -21,12 +21,15 @@
 } from "../ids.js";
 import { type TaskText } from "../ports/PeerRequests.js";
 import { chooseEngine, type EngineCapacity } from "./enginePlacement.js";
+import { EventLengths } from "./EventLengths.js";
 import { type Job, type Task, type TaskResult } from "./Job.js";
+import { JobDemands } from "./JobDemands.js";
 import { type JobLog } from "./JobLog.js";
+import { type JobDemand, type OrderedJob } from "./jobOrder.js";
 import { ageingMs } from "./PromptBudget.js";
 import { type PromptSize, promptSizeOf } from "./promptSize.js";
 import { fitSoftware } from "./softwareFit.js";
-import { TaskAdmission, type WaitReason } from "./TaskAdmission.js";
+import { type AdmissionPass, TaskAdmission, type WaitReason } from "./TaskAdmission.js";
 import { orderTasks } from "./taskOrder.js";
 import { type ProgressSnapshot, TaskProgress, type TextId } from "./TaskProgress.js";
 
@@ -81,6 +84,9 @@
     readonly scoring: Set<TaskRun>;
     /** Mean of the tokens that its tasks are expected to take. */
     readonly meanTokens: number;
+    readonly groupCount: number;
+    /** Groups with a failed task, which cannot become complete. */
+    readonly failedGroups: Set<GroupId>;
 }
 
 /** A task to start and its engine. */
@@ -122,6 +128,8 @@
     private readonly retainedTexts = new Map<TaskId, TaskProgress>();
     private readonly groupTargets = new Map<GroupId, TargetId>();
     private readonly admission = new TaskAdmission();
+    private readonly lengths = new EventLengths();
+    private readonly demands = new JobDemands(run => this.lengths.leftOf(run.task, run.progress.eventCount));
     /** Jobs for which no engine had a free slot when they were last considered. */
     private readonly withoutSlots = new Set<JobId>();
 
@@ -151,6 +159,8 @@
             running: new Set(),
             scoring: new Set(),
             meanTokens: expected / Math.max(1, job.tasks.length),
+            groupCount: new Set(job.tasks.map(({ group }) => group)).size,
+            failedGroups: new Set(),
         };
         for (const task of orderTasks(job)) {
             if (log.hasResult(task.id)) {
@@ -195,6 +205,7 @@
             return [];
         }
         this.jobs.delete(id);
+        this.demands.forget(id);
         unfinished(open).forEach(run => this.retainText(run.task.id, run.progress));
         open.running.forEach(run => this.admission.end(run));
         const groups = new Set(open.job.tasks.map(({ group }) => group));
@@ -258,6 +269,7 @@
             }
             open.scoring.delete(run);
         }
+        this.demands.forget(open.job.id);
         return stopped;
     }
 
@@ -281,15 +293,21 @@
         wallNow: Instant = now,
     ): TaskAssignment | undefined {
         this.admission.budget.dropReservations(run => this.isWaiting(run), now);
-        const jobs = [...this.jobs.values()].sort((a, b) => a.terms.dueAt - b.terms.dueAt);
-        for (const open of jobs) {
-            const available = engines.filter(engine => engine.running < engine.slots && canServe(engine, open));
-            if (available.length === 0) {
+        const passes = new Map<JobId, AdmissionPass>();
+        for (const { demand: { open }, part } of this.demands.order([...this.jobs.values()], engines, now, wallNow)) {
+            let pass = passes.get(open.job.id);
+            if (pass === undefined) {
+                pass = this.admission.beginPass(
+                    engines.filter(engine => engine.running < engine.slots && canServe(engine, open)),
+                );
+                passes.set(open.job.id, pass);
+            }
+            if (pass.engines.length === 0) {
                 this.withoutSlots.add(open.job.id);
                 continue;
             }
             this.withoutSlots.delete(open.job.id);
-            const choice = this.choose(open, available, listed(open.terms.service), now, wallNow);
+            const choice = this.choose(open, part, pass, listed(open.terms.service), now, wallNow);
             if (choice !== undefined) {
                 const engine = chooseEngine(choice.run, choice.engines, this.groupTargets.get(choice.run.task.group));
                 return { run: choice.run, target: engine.target, discarded: this.start(choice.run, engine, now) };
@@ -301,18 +319,19 @@
     /** The next run of a job that an engine admits, with its engines. A long prompt goes after shorter ones. */
     private choose(
         open: OpenJob,
-        available: readonly EngineCapacity[],
+        part: OrderedJob<JobDemand>["part"],
+        pass: AdmissionPass,
         inService: ReadonlySet<SoftwareVersion>,
         now: Instant,
         wallNow: Instant,
     ): RunChoice | undefined {
         let yielding: RunChoice | undefined;
-        const pass = this.admission.beginPass(available);
         for (const run of open.waiting) {
-            if (run.notBefore > now || this.admission.isRefused(pass, run, now)) {
+            const isInPart = part === "all" || this.demands.isNeeded(run) === (part === "needed");
+            if (!isInPart || run.notBefore > now || this.admission.isRefused(pass, run, now)) {
                 continue;
             }
-            const fit = fitSoftware(run, available, inService, now);
+            const fit = fitSoftware(run, pass.engines, inService, now);
             if (fit.kind === "wait") {
                 run.softwareWaitUntil = fit.until;
                 this.admission.budget.cancelReservation(run);
@@ -368,10 +387,12 @@
     end(run: TaskRun, outcome: RunEnd, now: Instant): TaskResult | undefined {
         run.job.running.delete(run);
         this.admission.end(run);
+        this.demands.forget(run.job.job.id);
         const lastTarget = run.target;
         run.target = undefined;
         if (outcome === "completed") {
             run.progress.markComplete();
+            this.lengths.record(run.task, run.progress.eventCount);
             return this.complete(run);
         }
         run.failures += outcome === "failed" ? 1 : 0;
@@ -458,6 +479,10 @@
     }
 
     private finish(run: TaskRun, state: TaskResult["state"], score: string | undefined): TaskResult {
+        if (state === "failed") {
+            run.job.failedGroups.add(run.task.group);
+        }
+        this.demands.forget(run.job.job.id);
         this.retainedTexts.delete(run.task.id);
         return resultOf(run, state, score);
     }
--- a/packages/core/src/lib/jobs/replayFixtures.test.ts
+++ b/packages/core/src/lib/jobs/replayFixtures.test.ts
@@ -17,10 +17,13 @@
 import { type Job, type TaskResult } from "./Job.js";
 import { JobLog } from "./JobLog.js";
 import { JobScheduler, type JobTerms, type TaskAssignment, type TaskRun } from "./JobScheduler.js";
+import { planMoves, planUpgrades } from "./MovePlan.js";
 import { PaceTracker } from "./PaceTracker.js";
 import { type PromptSize, promptSizeOf } from "./promptSize.js";
 
 const noSize: PromptSize = { sharedTokens: 0, ownTokens: 0, outputTokens: 0 };
+const moveIntervalMs = 150;
+const moveLimits = { silentMs: 600, silentAtStartMs: 900 } as const;
 const chunkTokens = 2048;
 const prefillTokensPerMs = 400;
 /** One-way time between the host and an engine. */
@@ -94,6 +97,8 @@
     mostRunning = 0;
     interrupted = 0;
     started = 0;
+    /** The time in the clock of the due times; a time long ago gives every job slack enough. */
+    wallNow: () => number = () => this.now;
     /** Called after each dispatch. */
     onDispatched: () => void = () => undefined;
 
@@ -194,8 +199,51 @@
         );
     }
 
+    /** Moves runs to other engines every 150 ms from `at` on, as the conductor does. */
+    moveRunsFrom(at: number): void {
+        this.at(at, () => {
+            this.moveRuns();
+            this.moveRunsFrom(at + moveIntervalMs);
+        });
+    }
+
+    private moveRuns(): void {
+        const now = this.now as Instant;
+        const engines = this.capacities();
+        const movable = this.engines.flatMap(({ target, runs }) => runs.map(replayed => ({ ...replayed, target })))
+            .map(replayed => ({
+                ...replayed,
+                startedAt: replayed.startedAt as Instant,
+                lastEventAt: replayed.lastEventAt as Instant,
+            }));
+        const available = engines.map(({ target, speed, software, slots, running }) => ({
+            target,
+            speed,
+            software,
+            freeSlots: slots - running,
+        }));
+        const speedOf = (target: TargetId): number => this.paces.speedOf(target, now);
+        const moved = planMoves(movable, available, speedOf, new Set(), moveLimits, now).map(({ run }) => run);
+        moved.forEach(run => this.interrupt(run));
+        if (!this.scheduler.open.some(({ waiting }) => waiting.length > 0)) {
+            const paced = this.capacities().map(({ target, slots, running, usualGapMs, software }) => ({
+                target,
+                slots,
+                software,
+                freeSlots: slots - running,
+                usualGapMs,
+            }));
+            const left = movable.filter(({ run }) => !moved.includes(run));
+            for (const { run, to } of planUpgrades(left, paced, new Set(), now)) {
+                run.preferredTarget = to;
+                this.interrupt(run);
+            }
+        }
+        this.dispatch();
+    }
+
     /** Stops a run so that it resumes elsewhere. */
-    interrupt(run: TaskRun): void {
+    private interrupt(run: TaskRun): void {
         this.interrupted++;
         this.stop(run);
         this.scheduler.end(run, "broken", this.now as Instant);
@@ -206,7 +254,7 @@
         const capacities = this.capacities();
         const places = new Map(capacities.map(({ target }, nth) => [target, nth]));
         for (;;) {
-            const next = this.scheduler.next(capacities, now);
+            const next = this.scheduler.next(capacities, now, undefined, this.wallNow() as Instant);
             if (next === undefined) {
                 break;
             }
