Place tasks by expected finish, move runs only with a gain, and leave a zone that is cut off at once

Cause: engines of one service run at 0.55 to 1.2 of the usual speed, and placement counts slots only, so groups are split over many engines that each prefill the shared prompt. Runs are moved on a ratio of speeds alone, and may move again at once. Runs of a zone that is cut off resume one after the other, partly at engines of the same zone.

Change: - FinishEstimate: prefill, events left and the observed gap at that number of runs. For tasks that describe their prompts, the longest go where they end first, a group stays at its engine up to 6 of 8 slots and twice the best finish, and others go to the least loaded engine unless they would end there 1.3 times later. Other tasks are placed as before. - planMoves and planUpgrades state the gain (with 150 ms for the connection and the prefill). A slow run moves for at least 400 ms and 40% of its remaining time, an upgrade for 100 ms, and no run again before its expected end except when silent. A slow engine's run counts as silent only after 6 of its gaps. Each move is logged as run-moved with its reason. - ZoneWatch: three runs at two engines, and half of the zone's runs, silent or unreachable within 300 ms. One engine that pauses for 600 ms is no reason. Their silent runs move as far as other zones have room; the zone gets no run for 1.5 s or until an event arrives from it.

--- a/packages/core/src/lib/jobs/JobScheduler.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.ts
@@ -66,6 +66,8 @@
     softwareWaitUntil: Instant | undefined;
     /** Number of times that its text has begun again because no engine could go on with it. */
     restarts: number;
+    /** Until when it is not moved again to end earlier, since it has been moved; undefined before the first move. */
+    stayUntil: Instant | undefined;
     /** Since when it waits although an engine had a free slot; undefined while it does not. */
     passedOverSince: Instant | undefined;
     /** Why no engine admitted it when it was last considered; undefined if one did or none had a free slot. */
@@ -129,7 +131,7 @@
     private readonly groupTargets = new Map<GroupId, TargetId>();
     private readonly admission = new TaskAdmission();
     private readonly lengths = new EventLengths();
-    private readonly demands = new JobDemands(run => this.lengths.leftOf(run.task, run.progress.eventCount));
+    private readonly demands = new JobDemands(run => this.eventsLeft(run));
     /** Jobs for which no engine had a free slot when they were last considered. */
     private readonly withoutSlots = new Set<JobId>();
 
@@ -178,6 +180,7 @@
                 preferredTarget: undefined,
                 softwareWaitUntil: undefined,
                 restarts: 0,
+                stayUntil: undefined,
                 passedOverSince: undefined,
                 blockedBy: undefined,
             };
@@ -309,8 +312,12 @@
             this.withoutSlots.delete(open.job.id);
             const choice = this.choose(open, part, pass, listed(open.terms.service), now, wallNow);
             if (choice !== undefined) {
-                const engine = chooseEngine(choice.run, choice.engines, this.groupTargets.get(choice.run.task.group));
-                return { run: choice.run, target: engine.target, discarded: this.start(choice.run, engine, now) };
+                const { run } = choice;
+                const engine = chooseEngine(run, choice.engines, this.groupTargets.get(run.task.group), {
+                    eventsLeft: this.eventsLeft(run),
+                    promptTokensAt: other => this.admission.promptTokensAt(run, other),
+                });
+                return { run, target: engine.target, discarded: this.start(run, engine, now) };
             }
         }
         return undefined;
@@ -349,6 +356,11 @@
         return yielding;
     }
 
+    /** Events that the text of a run probably has left. */
+    eventsLeft(run: TaskRun): number {
+        return this.lengths.leftOf(run.task, run.progress.eventCount);
+    }
+
     /** Records the first event of a run. Returns whether its engine may therefore admit further prompts. */
     recordFirstEvent(run: TaskRun): boolean {
         return this.admission.recordFirstEvent(run);
--- a/packages/core/src/lib/jobs/PaceTracker.ts
+++ b/packages/core/src/lib/jobs/PaceTracker.ts
@@ -89,7 +89,8 @@
         return this.paces.get(target)?.usualGapMs;
     }
 
-    private medianGapMs(now: Instant): number | undefined {
+    /** Median of the engines' current gaps in milliseconds: the gap at speed 1. */
+    medianGapMs(now: Instant): number | undefined {
         if (this.median?.now !== now || this.median.revision !== this.revision) {
             this.median = { now, revision: this.revision, gapMs: this.calculateMedianGapMs(now) };
         }
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -27,6 +27,8 @@
     type TaskRun,
     type TaskRunOutcome,
     type WaitReason,
+    type ZoneId,
+    ZoneWatch,
 } from "@tamarackpath/core";
 import { EngineBackoff } from "./EngineBackoff.js";
 import { type HostView } from "./HostView.js";
@@ -67,6 +69,9 @@
 /** Milliseconds between checks for runs that should move to another engine. */
 const moveIntervalMs = 150;
 
+/** Milliseconds between two events of a run, while no engine's pace is known. */
+const assumedGapMs = 40;
+
 /** Name of the runs of tasks among the requests to engines with a rate limit. */
 const tasksFlow = "tasks";
 
@@ -76,6 +81,7 @@
 /** A run at an engine. */
 interface RunningTask {
     readonly target: TargetId;
+    readonly zone: ZoneId;
     readonly stop: AbortController;
     readonly startedAt: Instant;
     lastEventAt: Instant;
@@ -92,6 +98,7 @@
     private readonly runs = new Map<TaskRun, RunningTask>();
     private readonly paceTracker = new PaceTracker();
     private readonly backoff = new EngineBackoff();
+    private readonly zoneWatch = new ZoneWatch();
     /** Smoothed sum of the expected tokens of a step, by model. */
     private readonly workByModel = new Map<string, number>();
     private cancelDispatch: (() => void) | undefined;
@@ -223,7 +230,9 @@
     /** The capacity of a target if it is an engine that may be used now. */
     private capacityOf(entry: TargetEntryView, now: Instant): readonly EngineCapacity[] {
         const spec = this.view.routes?.service(entry.service);
-        if (spec?.engine === undefined || entry.leaving || this.backoff.isBackingOff(entry, now)) {
+        const isUnusable = entry.leaving || this.backoff.isBackingOff(entry, now)
+            || this.zoneWatch.isCutOff(entry.zone, now);
+        if (spec?.engine === undefined || isUnusable) {
             return [];
         }
         const running = this.runningAt(entry.target);
@@ -266,6 +275,7 @@
         const startedAt = this.clock.now();
         const running: RunningTask = {
             target,
+            zone: entry.zone,
             stop,
             startedAt,
             lastEventAt: startedAt,
@@ -370,6 +380,7 @@
         if (running.hasEvents && !this.versions.isChanging(running.target, now)) {
             this.paceTracker.recordGap(running.target, now - running.lastEventAt, now);
         }
+        this.zoneWatch.recordEvent(running.zone);
         const isFirst = !running.hasEvents;
         running.hasEvents = true;
         running.lastEventAt = now;
@@ -386,6 +397,7 @@
         const now = this.clock.now();
         // The next check is scheduled first, so that an unexpected error in this one does not end them.
         this.cancelMoves = this.clock.callAt(after(now, moveIntervalMs), () => this.moveRuns());
+        this.leaveCutOffZones(now);
         const engines = this.engineCapacities();
         const available = engines.map(({ target, slots, running, speed, software }) => ({
             target,
@@ -394,20 +406,23 @@
             freeSlots: slots - running,
         }));
         const runs = [...this.runs].flatMap(([run, running]) =>
-            running.moved === undefined && !running.stop.signal.aborted ? [{ run, ...running }] : []
+            running.moved === undefined && !running.stop.signal.aborted
+                ? [{ run, ...running, eventsLeft: this.scheduler.eventsLeft(run) }]
+                : []
         );
         const changing = new Set(
             runs.map(({ target }) => target).filter(target => this.versions.isChanging(target, now)),
         );
         const { silentMs, silentAtStartMs } = this.settings;
         const speedOf = (target: TargetId): number => this.paceTracker.speedOf(target, now);
+        const usualGapMs = this.paceTracker.medianGapMs(now);
         for (
-            const { run, target, reason } of planMoves(
+            const { run, target, reason, gainMs, remainingMs } of planMoves(
                 runs,
                 available,
                 speedOf,
                 changing,
-                { silentMs, silentAtStartMs },
+                { silentMs, silentAtStartMs, usualGapMs },
                 now,
             )
         ) {
@@ -418,12 +433,38 @@
                 this.view.software.recordConnectionLost(entry, now);
                 this.journal.log("target-resting", { target, reason: "A run sent no events.", ms });
             }
-            running.moved = reason;
-            running.stop.abort();
+            this.move(run, running, reason, { gainMs, remainingMs });
         }
         this.upgradeRuns(runs.filter(({ run }) => this.runs.get(run)?.moved === undefined), engines, changing, now);
     }
 
+    /** Moves the silent runs of zones that are cut off, all at once, to engines of other zones. */
+    private leaveCutOffZones(now: Instant): void {
+        const runs = [...this.runs].filter(([, running]) =>
+            running.moved === undefined && !running.stop.signal.aborted
+            && !this.versions.isChanging(running.target, now)
+        ).map(([run, { target, zone, lastEventAt, hasEvents }]) => ({
+            run,
+            target,
+            zone,
+            lastEventAt,
+            hasEvents,
+            gapMs: (this.paceTracker.medianGapMs(now) ?? assumedGapMs) / this.paceTracker.speedOf(target, now),
+        }));
+        const engines = this.engineCapacities().map(({ target, slots, running, software }) => ({
+            target,
+            zone: this.view.directory.get(target)!.zone,
+            freeSlots: slots - running,
+            software,
+        }));
+        for (const { zone, runs: silent } of this.zoneWatch.check(runs, engines, now)) {
+            this.journal.log("zone-cut-off", { zone, runs: silent.length });
+            for (const { run } of silent) {
+                this.move(run, this.runs.get(run)!, "zone-cut-off", { gainMs: undefined, remainingMs: 0 });
+            }
+        }
+    }
+
     /** Moves the longest runs to engines that are faster for good, if no task waits for the slots there. */
     private upgradeRuns(
         runs: readonly MovableRun[],
@@ -445,15 +486,34 @@
                     usualGapMs,
                 }));
             const own = runs.filter(({ run }) => run.job === open);
-            for (const { run, to } of planUpgrades(own, paced, changing, now)) {
-                const running = this.runs.get(run)!;
+            for (const { run, to, gainMs, remainingMs } of planUpgrades(own, paced, changing, now)) {
                 run.preferredTarget = to;
-                running.moved = "upgraded";
-                running.stop.abort();
+                this.move(run, this.runs.get(run)!, "upgraded", { gainMs, remainingMs });
             }
         }
     }
 
+    /** Stops a run to resume it elsewhere, where it stays for the time that it is expected to take. */
+    private move(
+        run: TaskRun,
+        running: RunningTask,
+        reason: RunMoveReason | "zone-cut-off",
+        { gainMs, remainingMs }: { readonly gainMs: number | undefined; readonly remainingMs: number; },
+    ): void {
+        run.stayUntil = after(this.clock.now(), remainingMs);
+        this.journal.log("run-moved", {
+            job: run.job.job.id,
+            task: run.task.id,
+            target: running.target,
+            reason,
+            events: run.progress.eventCount,
+            gainMs,
+            remainingMs,
+        });
+        running.moved = reason === "zone-cut-off" ? "silent" : reason;
+        running.stop.abort();
+    }
+
     private recordWork({ model, tasks }: Job): void {
         const work = tasks.reduce((sum, { expectedTokens, tokens }) => sum + (expectedTokens ?? tokens), 0);
         const known = this.workByModel.get(model) ?? work;
@@ -468,6 +528,9 @@
         if (end.kind === "completed") {
             this.backoff.recordSuccess(entry.target);
         }
+        if (end.kind === "unreachable") {
+            this.zoneWatch.recordUnreachable(entry.zone, entry.target, now);
+        }
         if (end.kind === "unreachable" || end.kind === "fault" && !isTooOld) {
             const ms = this.backoff.recordFault(entry, now);
             this.view.software.recordConnectionLost(entry, now);
@@ -523,6 +586,7 @@
         const times = [
             this.scheduler.nextRetryAt(now),
             this.backoff.nextRetryAt(now),
+            this.zoneWatch.nextRetryAt(now),
             this.versions.nextReadyAt(now),
             ...this.permits.nextTimes(this.view.directory.targets, tasksFlow, now),
         ].filter(at => at !== undefined);
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -42,6 +42,8 @@
     "task-started": "A task's run at an engine has started.",
     "tasks-waiting": "Tasks wait although engines have free slots; how many wait for memory, prompts and slots.",
     "event-rejected": "An event does not come next in its text; the run ends, and nothing of it from there on is used.",
+    "run-moved": "A run is stopped to go on at another engine, and why.",
+    "zone-cut-off": "A zone's runs are silent or unreachable; its silent runs move to other zones at once.",
     "task-ended": "A task's run at an engine ended, and how.",
     "text-restarted": "A text is discarded and begins again, because no engine may go on with it.",
     "reward-attempt": "A reward call was sent to a target, how that ended, and what follows.",
