--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,5 +1,8 @@
 /** Stand-ins for the external systems that tamarackpath depends on, for tests, trials and benchmarks. */
 
+export * from "./lib/clients/crowdChecks.js";
+export * from "./lib/clients/CrowdClient.js";
+export * from "./lib/clients/crowds.js";
 export * from "./lib/completionText.js";
 export * from "./lib/EngineStandIn.js";
 export * from "./lib/fleet/DaemonProcess.js";
