Bound what clients can make the platform's program hold

Clients outside the limits ended the program: chunks of one byte became an object each, JSON bodies of many short fields took many times their size, pipelined requests were all started, unread answers were kept without bound, and connections that stop half-way were kept. A guard in packages/adapters bounds connections, open requests of a connection, and, by budgets that follow from limits.memory_mb, the bytes of bodies and answers. Slow clients are closed first; refused requests have not been passed on. Paths without a route read no body.

--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,5 +1,9 @@
 /** Adapters that implement the core's ports over HTTP and WebSocket, and helpers that the processes share. */
 
+export * from "./lib/answerEarly.js";
+export * from "./lib/AnswerRoom.js";
+export * from "./lib/ClientGuard.js";
+export * from "./lib/collectBody.js";
 export * from "./lib/EtcdKeyValue.js";
 export * from "./lib/GuardedKeyValue.js";
 export * from "./lib/hopByHopHeaders.js";
