Bound what callers can make the daemon hold

Clients outside the limits ended the daemon like the platform's program. Settings [limits] memory_mb and max_descriptors state the host's limits; the tests of clients set them, their crowds and bounds are unchanged. What a process needs itself is taken as 160 MB instead of 136, as the daemon exceeded the bound.

--- a/apps/daemon/src/lib/Context.ts
+++ b/apps/daemon/src/lib/Context.ts
@@ -1,5 +1,6 @@
 /** The context of every task of a daemon: host identity, clock, ports and the messages between tasks. */
 
+import { type ClientGuard } from "@tamarackpath/adapters";
 import {
     type Clock,
     type ConfigDocument,
@@ -76,6 +77,8 @@
     readonly facts: FactMap;
     readonly leaving: LeavingTargetRegistry;
     readonly metrics: Metrics;
+    /** Bounds what callers make this process hold. */
+    readonly guard: ClientGuard;
     /** A log whose messages start with `prefix`. */
     log(prefix: string): Log;
 }
--- a/apps/daemon/src/lib/Daemon.ts
+++ b/apps/daemon/src/lib/Daemon.ts
@@ -1,6 +1,7 @@
 /** Creates and connects the tasks of one daemon, and starts and stops them in order. */
 
 import {
+    ClientGuard,
     EtcdKeyValue,
     GuardedKeyValue,
     HttpEngine,
@@ -10,7 +11,9 @@
     WsPeerNetwork,
 } from "@tamarackpath/adapters";
 import {
+    type ClientLimits,
     ConfigRegistry,
+    deriveClientLimits,
     FactMap,
     type Finding,
     type Incarnation,
@@ -47,6 +50,7 @@
 const keyValueTimeoutMs = 1500;
 const peerPingIntervalMs = 500;
 const peerPongTimeoutMs = 1500;
+const bytesPerMegabyte = 1024 * 1024;
 
 /** One running daemon. */
 export class Daemon {
@@ -110,12 +114,15 @@
             shutdown: this.shutdown,
             isReady: () => this.isReady(),
         });
+        const { maxCallerConnections, maxProbeConnections } = clientLimitsOf(settings);
+        const operatorServer = createServer({ maxHeaderSize: maxHeaderBytes });
+        ctx.guard.protect(operatorServer, maxProbeConnections, (req, res) => void operatorApp(req, res));
         this.servers = [
-            { server: createCallerServer(callerApp), address: settings.listen.callers },
             {
-                server: createServer({ maxHeaderSize: maxHeaderBytes }, operatorApp),
-                address: settings.listen.operators,
+                server: createCallerServer(callerApp, ctx.guard, maxCallerConnections),
+                address: settings.listen.callers,
             },
+            { server: operatorServer, address: settings.listen.operators },
         ];
         ctx.log("daemon").info("The host is starting.", { host, zone, incarnation });
     }
@@ -209,6 +216,10 @@
     const plain = new HttpPlainService(dispatcher);
     const engine = new MeteredEngine(new HttpEngine(dispatcher));
     const logs = new Logs(host, settings.log.level);
+    const guard = new ClientGuard(clientLimitsOf(settings), clock, (reason, count) => {
+        metrics.clientsRefused.inc({ reason }, count);
+        logs.forPrefix("http").warn("Clients exceed the limits and were refused.", { reason, count });
+    });
     const ctx: Context = {
         host,
         zone,
@@ -228,11 +239,19 @@
         facts,
         leaving: new LeavingTargetRegistry(facts),
         metrics,
+        guard,
         log: prefix => logs.forPrefix(prefix),
     };
     return { host, zone, incarnation, peers, keyValue, guarded, ctx, logs, engine };
 }
 
+function clientLimitsOf({ limits }: Settings): ClientLimits {
+    return deriveClientLimits(
+        limits.memory_mb === undefined ? undefined : limits.memory_mb * bytesPerMegabyte,
+        limits.max_descriptors,
+    );
+}
+
 function listen(server: Server, address: string): Promise<void> {
     const [host, port] = address.split(":");
     return new Promise((resolve, reject) => {
--- a/apps/daemon/src/lib/Metrics.ts
+++ b/apps/daemon/src/lib/Metrics.ts
@@ -1,5 +1,6 @@
 /** The daemon's metrics. Counters with known labels start at zero, so that the first increment is visible in rates. */
 
+import { clientRefusals } from "@tamarackpath/adapters";
 import { type Instant, keyValuePurposes, problemStatus } from "@tamarackpath/core";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
@@ -44,7 +45,15 @@
         registers: [this.registry],
     });
 
+    readonly clientsRefused = new Counter({
+        name: "tamarackpath_clients_refused_total",
+        help: "Requests refused and connections closed because a client exceeds the limits, by reason.",
+        labelNames: ["reason"],
+        registers: [this.registry],
+    });
+
     constructor() {
+        clientRefusals.forEach(reason => this.clientsRefused.inc({ reason }, 0));
         for (const duty of keyValuePurposes) {
             ["answered", "failed", "unknown", "refused"].forEach(outcome =>
                 this.keyValueCalls.inc({ duty, outcome }, 0)
--- a/apps/daemon/src/lib/http/ServiceRoutes.ts
+++ b/apps/daemon/src/lib/http/ServiceRoutes.ts
@@ -50,7 +50,10 @@
 /** Sends `result` as JSON, or its problem. */
 export function reply(ctx: Context, call: ServiceRequest, result: Either<Problem, unknown>): void {
     result.ifLeft(failure => fail(ctx, call.res, failure));
-    result.ifRight(body => void call.res.json(body));
+    result.ifRight(body => {
+        call.res.json(body);
+        ctx.guard.holdAnswer(call.res, Number(call.res.getHeader("content-length") ?? 0));
+    });
 }
 
 /** Sends a problem and counts it. */
@@ -79,23 +82,22 @@
         )
         .caseOf<Promise<Problem | undefined>>({
             Left: refusal => Promise.resolve(refusal),
-            Right: call => handle(call, method),
+            Right: call => handle(ctx, call, method),
         });
     if (failure !== undefined) {
         fail(ctx, res, earlyRefusal(req, failure));
     }
 }
 
-async function handle(call: ServiceRequest, method: ServiceMethod): Promise<Problem | undefined> {
-    const limit = call.service.limits.bodyBytes;
+async function handle(ctx: Context, call: ServiceRequest, method: ServiceMethod): Promise<Problem | undefined> {
     switch (method.body) {
         case "none":
             await method.handle(call);
             return undefined;
         case "json":
-            return await handleRead(await readJson(call.req, limit), input => method.handle(call, input));
+            return await handleRead(await readJson(ctx, call), input => method.handle(call, input));
         case "bytes":
-            return await handleRead(await readBody(call.req, limit), body => method.handle(call, body));
+            return await handleRead(await readBody(ctx, call), body => method.handle(call, body));
     }
 }
 
--- a/apps/daemon/src/lib/http/callRoutes.ts
+++ b/apps/daemon/src/lib/http/callRoutes.ts
@@ -44,6 +44,7 @@
     outcome.ifLeft(failure => fail(ctx, call.res, failure));
     outcome.ifRight(answer => {
         ctx.metrics.observeAnswer("plain", arrivedAt, ctx.clock.now());
+        ctx.guard.holdAnswer(call.res, answer.bodyBase64.length);
         sendOutcome(call.res, answer);
     });
 }
--- a/apps/daemon/src/lib/http/clientLimits.serial.test.ts
+++ b/apps/daemon/src/lib/http/clientLimits.serial.test.ts
@@ -72,7 +72,14 @@
 
     beforeEach(async () => {
         process.env["NODE_OPTIONS"] = heapOptions;
-        fleet = await Fleet.start({ zones: ["leon"], hostsPerZone: 1, enginesPerZone: 0, plainPerZone: 1 });
+        fleet = await Fleet.start({
+            zones: ["leon"],
+            hostsPerZone: 1,
+            enginesPerZone: 0,
+            plainPerZone: 1,
+            extraSettings: () =>
+                `[limits]\nmemory_mb = ${limits.memoryMegabytes}\nmax_descriptors = ${limits.descriptors}`,
+        });
         const daemon = fleet.daemon("leon-1");
         pid = daemon.pid!;
         const portOf = (url: string): number => Number(new URL(url).port);
--- a/apps/daemon/src/lib/http/createCallerServer.ts
+++ b/apps/daemon/src/lib/http/createCallerServer.ts
@@ -4,6 +4,7 @@
  * answer for the other.
  */
 
+import { type ClientGuard } from "@tamarackpath/adapters";
 import { type Problem, problem, problemStatus } from "@tamarackpath/core";
 import { type Express } from "express";
 import { createServer, type IncomingMessage, type Server, STATUS_CODES } from "node:http";
@@ -18,8 +19,8 @@
     hasInvalidBytes: boolean;
 }
 
-/** Creates the server of the callers' interface. */
-export function createCallerServer(app: Express): Server {
+/** Creates the server of the callers' interface, which `guard` limits to `maxConnections` connections. */
+export function createCallerServer(app: Express, guard: ClientGuard, maxConnections: number): Server {
     const connections = new WeakMap<Duplex, ConnectionState>();
     const server = createServer({ maxHeaderSize: maxHeaderBytes });
     server.on("request", (req, res) => {
@@ -32,8 +33,8 @@
                 req.socket.destroySoon();
             }
         });
-        app(req, res);
     });
+    guard.protect(server, maxConnections, (req, res) => void app(req, res));
     server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
         const state = connections.get(socket);
         if (state !== undefined && state.unanswered > 0) {
--- a/apps/daemon/src/lib/http/fixtures.ts
+++ b/apps/daemon/src/lib/http/fixtures.ts
@@ -1,10 +1,12 @@
 /** Fixtures for tests of the callers' interface: the real app with in-memory tasks, and raw HTTP requests. */
 
+import { ClientGuard, systemClock } from "@tamarackpath/adapters";
 import {
     asId,
     type Completion,
     configPrefix,
     ConfigRegistry,
+    deriveClientLimits,
     FactMap,
     type Instant,
     LeavingTargetRegistry,
@@ -28,6 +30,8 @@
 import { createCallerServer } from "./createCallerServer.js";
 import { OpenRequests } from "./OpenRequests.js";
 
+const testClientLimits = deriveClientLimits(undefined, undefined);
+
 export const testToken = "token-a";
 export const testLimits = { bodyBytes: 4096, groupsPerStep: 2, samplesPerGroup: 3, openStreamsPerCaller: 2 };
 
@@ -58,7 +62,8 @@
     const completions: CompletionCall[] = [];
     const noStep = (): Promise<Either<Problem, StepStatus>> =>
         Promise.resolve(Left(problem("not-found", "The step is not known.")));
-    const app = createCallerApp(createContext(), {
+    const ctx = createContext();
+    const app = createCallerApp(ctx, {
         steps: { put: noStep, status: noStep, cancel: noStep, pull: async () => (await noStep()).map(() => never()) },
         weights: { publish: () => Promise.resolve() },
         answers: {
@@ -77,7 +82,7 @@
         requests: new OpenRequests(),
         isReady: () => true,
     });
-    const server = createCallerServer(app);
+    const server = createCallerServer(app, ctx.guard, testClientLimits.maxCallerConnections);
     const port = await listen(server);
     const harness: CallerServerHarness = {
         port,
@@ -165,6 +170,7 @@
         ports: {} as Ports,
         config,
         metrics: new Metrics(),
+        guard: new ClientGuard(testClientLimits, systemClock, () => undefined),
         log: prefix => logs.forPrefix(prefix),
         facts,
         leaving: new LeavingTargetRegistry(facts),
--- a/apps/daemon/src/lib/http/stepRoutes.ts
+++ b/apps/daemon/src/lib/http/stepRoutes.ts
@@ -18,6 +18,9 @@
 import { type WeightTask } from "../tasks/WeightTask.js";
 import { reply, type ServiceRequest, type ServiceRoutes } from "./ServiceRoutes.js";
 
+/** Upper limit of the findings that are reported for one body. */
+const maxFindings = 50;
+
 const maxWaitMs = 30_000;
 const stepIdPattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/;
 
@@ -104,7 +107,9 @@
 }
 
 function invalidBody(findings: Problem["findings"]): Problem {
-    return problem("invalid-request", "The request's body is not valid.", { findings });
+    return problem("invalid-request", "The request's body is not valid.", {
+        findings: (findings ?? []).slice(0, maxFindings),
+    });
 }
 
 function readSpec({ service }: ServiceRequest, ref: StepReference, input: unknown): Either<Problem, StepSpec> {
--- a/apps/daemon/src/lib/settings/Settings.ts
+++ b/apps/daemon/src/lib/settings/Settings.ts
@@ -57,6 +57,15 @@
             description: "Milliseconds that running requests then have before they are reported as unknown.",
         }),
     }).prefault({}),
+    limits: z.strictObject({
+        memory_mb: z.number().int().min(64).optional().meta({
+            description:
+                "Memory of this process in megabytes, from which the limits towards callers follow; 512 if not set.",
+        }),
+        max_descriptors: z.number().int().min(64).optional().meta({
+            description: "Upper limit of this process's open descriptors, likewise; 4096 if not set.",
+        }),
+    }).prefault({}),
     log: z.strictObject({
         level: z.enum(["debug", "info", "warn", "error"]).default("info")
             .meta({ description: "Lowest level that is logged. Read again on SIGHUP." }),
--- a/apps/daemon/src/measure/membership.ts
+++ b/apps/daemon/src/measure/membership.ts
@@ -4,9 +4,10 @@
  * Usage: node apps/daemon/dist/measure/membership.js MEMBERS...
  */
 
-import { systemClock, WsPeerNetwork } from "@tamarackpath/adapters";
+import { ClientGuard, systemClock, WsPeerNetwork } from "@tamarackpath/adapters";
 import {
     ConfigRegistry,
+    deriveClientLimits,
     FactMap,
     type HostId,
     type Incarnation,
@@ -62,6 +63,7 @@
         facts,
         leaving: new LeavingTargetRegistry(facts),
         metrics: new Metrics(),
+        guard: new ClientGuard(deriveClientLimits(undefined, undefined), systemClock, () => undefined),
         log: prefix => logs.forPrefix(prefix),
     };
     return { host, peers, ctx, task: new MembershipTask(ctx, { address: `127.0.0.1:${port}`, seeds: [] }) };
--- a/packages/core/src/lib/limits/clientLimits.ts
+++ b/packages/core/src/lib/limits/clientLimits.ts
@@ -21,11 +21,11 @@
 
 const mebibyte = 1024 * 1024;
 
-/** What the process itself needs: program, heap and buffers of the kernel's sockets. */
-const ownBytes = 136 * mebibyte;
+/** What the process itself needs: its program, its heap of up to 110 MB, and buffers that are not collected yet. */
+const ownBytes = 160 * mebibyte;
 
 /** Lower limit of the buffers, for hosts whose memory is hardly more than what the process needs. */
-const minBufferBytes = 24 * mebibyte;
+const minBufferBytes = 16 * mebibyte;
 
 /** Used where the settings state no limit. */
 const usual = { memoryBytes: 512 * mebibyte, descriptors: 4096 } as const;
