--- a/packages/adapters/src/lib/answerEarly.ts
+++ b/packages/adapters/src/lib/answerEarly.ts
@@ -9,8 +9,14 @@
 /** Upper limit in bytes of a body that is read to its end and dropped. */
 const maxDroppedBytes = 64 * 1024;
 
-/** Upper limits of what is dropped before a connection is closed. */
-const linger = { bytes: 1024 * 1024, ms: 300 } as const;
+/** Upper limits of what is dropped before a connection is closed, and of the time until then. */
+const linger = { bytes: 256 * 1024, ms: 300 } as const;
+
+/**
+ * Bytes from which a piece stops the reading instead. Large pieces would be copied in vain; many tiny ones that wait in
+ * memory would take more than dropping them.
+ */
+const minPausingBytes = 1024;
 
 /** Sends `text` with `status` and `headers`, and closes the connection unless little of the body is left. */
 export function answerEarly(
@@ -41,7 +47,10 @@
     const timer = setTimeout(end, linger.ms);
     req.on("data", (piece: Buffer) => {
         droppedBytes += piece.length;
-        if (droppedBytes > linger.bytes) {
+        if (piece.length >= minPausingBytes) {
+            req.pause();
+        }
+        else if (droppedBytes > linger.bytes) {
             end();
         }
     });
