--- a/packages/adapters/src/lib/ClientConnection.ts
+++ b/packages/adapters/src/lib/ClientConnection.ts
@@ -14,6 +14,8 @@
     /** Bytes of the body and overhead of the request. */
     readonly holding: BufferHolding;
     isStarted: boolean;
+    /** Whether its body is no longer read, because its client is too slow. */
+    isGivenUp: boolean;
     /** Ends the reading of the body when the client is too slow. */
     endReading: (() => void) | undefined;
 }
@@ -61,6 +63,11 @@
         return this.slow;
     }
 
+    /** Whether it needs no further action to be freed: it is closed, or the reading of its body has ended. */
+    get isGivenUp(): boolean {
+        return this.isEnding || this.requests.at(-1)?.isGivenUp === true;
+    }
+
     /** Time of the last progress that a sample saw. */
     get lastProgressAt(): Instant {
         return this.progressAt;
--- a/packages/adapters/src/lib/ClientGuard.ts
+++ b/packages/adapters/src/lib/ClientGuard.ts
@@ -157,7 +157,7 @@
             return;
         }
         const holding = this.requestBudget.open();
-        const request: OpenRequest = { req, res, holding, isStarted: false, endReading: undefined };
+        const request: OpenRequest = { req, res, holding, isStarted: false, isGivenUp: false, endReading: undefined };
         const isFirst = connection.requests.length === 0;
         if (isFirst) {
             holding.grow(requestOverheadBytes);
@@ -221,7 +221,7 @@
     /** Closes the slow connection in `phase` that holds most; returns whether there was one. */
     private closeSlow(phase: ConnectionPhase): boolean {
         const slow = [...this.connections.values()].flatMap(open => [...open])
-            .filter(connection => !connection.isEnding && connection.isSlow && connection.phase === phase)
+            .filter(connection => connection.isSlow && connection.phase === phase && !connection.isGivenUp)
             .reduce<ClientConnection | undefined>(
                 (most, each) => most === undefined || each.heldBytes > most.heldBytes ? each : most,
                 undefined,
@@ -234,6 +234,7 @@
         if (phase === "body" && last?.endReading !== undefined) {
             // The request is refused; its bytes are free at once.
             last.holding.release();
+            last.isGivenUp = true;
             last.endReading();
         }
         else {
