--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -67,6 +67,8 @@
         "Requests were refused for their credential, or because the configuration may be out of date; one line a second.",
     "call-relayed": "An attempt at a call was sent through another host, since this host reaches no target.",
     "reach-changed": "This host found that it reaches no target, or that it reaches targets again.",
+    "clients-refused":
+        "Requests were refused, or connections closed, because clients exceed the limits; counted for a second.",
     "call-ended": "A call has its final answer.",
     "stream-origin": "A caller takes a stream up, and which software began it, or that this is not known.",
     "streams-recorded": "This host wrote to the store which software began its streams.",
