Count moved runs and waiting tasks by reason

Cause: the reasons for which runs move and tasks wait stood in the log only.

Runs that leave an engine before its weights change are logged as run-moved too.

--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -105,6 +105,8 @@
     private cancelExpiry: (() => void) | undefined;
     private cancelMoves: (() => void) | undefined;
     private isActive = false;
+    /** Whether tasks waited for memory or prompt budget at the last check. */
+    private lackedRoom = false;
 
     constructor(
         private readonly settings: RolloutSettings,
@@ -185,8 +187,7 @@
             const room = software === undefined ? 0 : freeSlots.get(software) ?? 0;
             if (isAffected && isLong && running.moved === undefined && room > 0) {
                 freeSlots.set(software, room - 1);
-                running.moved = "changing";
-                running.stop.abort();
+                this.move(run, running, "changing", { gainMs: undefined, remainingMs: 0 });
             }
         }
     }
@@ -565,9 +566,11 @@
         this.cancelExpiry = this.clock.callAt(after(this.clock.now(), expiryIntervalMs), () => this.expire());
         this.registry.dropEndedFromMemory();
         const { memory, slots, "prompt-budget": promptBudget } = this.waitingByReason();
-        if (memory + promptBudget > 0) {
+        const lacksRoom = memory + promptBudget > 0;
+        if (lacksRoom || this.lackedRoom) {
             this.journal.log("tasks-waiting", { memory, promptBudget, slots });
         }
+        this.lackedRoom = lacksRoom;
         // Submission times are wall-clock times of other hosts, so they are compared with this host's wall clock.
         const wallNow = Date.now() as ReturnType<Clock["now"]>;
         this.scheduler.expire(wallNow).forEach(({ open, result }) => this.registry.addResult(open, result));
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -40,7 +40,8 @@
     "job-opened": "The conductor has begun to run a job.",
     "job-ended": "A job has ended.",
     "task-started": "A task's run at an engine has started.",
-    "tasks-waiting": "Tasks wait although engines have free slots; how many wait for memory, prompts and slots.",
+    "tasks-waiting":
+        "Tasks wait, or have waited until now, although engines have free slots; how many, by what is missing.",
     "event-rejected": "An event does not come next in its text; the run ends, and nothing of it from there on is used.",
     "run-moved": "A run is stopped to go on at another engine, and why.",
     "zone-cut-off": "A zone's runs are silent or unreachable; its silent runs move to other zones at once.",
