Read the organisations that a conductor of earlier software leaves out

Cause: such a conductor passes the configuration on without organisations. Without strict revocation its followers ran all requests without a key and passed keys on to targets, for as long as it conducted; also after they had known the organisations, with each new revision.

Change: a follower reads the operators' documents once for each revision that an answer without a proof tells, and takes no configuration from it before if it has organisations.

Run: configProofs.test.ts (in the new test both followers had no organisations before)

--- a/packages/core/src/lib/config/configProof.ts
+++ b/packages/core/src/lib/config/configProof.ts
@@ -7,6 +7,7 @@
  * store, so each proof is taken before the call or message that brings it is sent.
  */
 
+import { type RouteConfig } from "../calls/RouteTable.js";
 import { after, type ConfigRevision, type Instant, type KeyRevision } from "../ids.js";
 import { type ConductorView } from "../ports/PeerRequests.js";
 
@@ -78,18 +79,34 @@
     return isSame && proofAgeMs !== undefined && proofAgeMs >= 0 ? after(pulledAt, -proofAgeMs) : undefined;
 }
 
+/**
+ * Whether the configuration that a conductor passed on may have organisations that it left out, as earlier software does; the
+ * host reads the documents once for each such revision. `readRevision` is the newest one that this host read itself.
+ */
+export function mayLackOrganisations(
+    config: RouteConfig | undefined,
+    proofAgeMs: number | undefined,
+    readRevision: ConfigRevision | undefined,
+): boolean {
+    return config !== undefined && config.organisations === undefined && proofAgeMs === undefined
+        && config.revision > (readRevision ?? -1);
+}
+
 /** Inputs of `shouldProveConfig`. */
 export interface ProofState {
     readonly now: Instant;
     readonly provenAt: Instant | undefined;
-    /** Milliseconds within which a revoked credential must be refused. */
-    readonly revocationMs: number;
+    /** Milliseconds within which a revoked credential must be refused; undefined if that is not demanded. */
+    readonly revocationMs: number | undefined;
+    /** Whether the configuration in force may lack organisations. */
+    readonly isPartial: boolean;
     /** When the host's last own read of the operators' documents began. */
     readonly lastReadAt: Instant;
 }
 
 /** Whether a host that does not conduct reads the operators' documents itself to prove its configuration. */
-export function shouldProveConfig({ now, provenAt, revocationMs, lastReadAt }: ProofState): boolean {
-    const isAgeing = provenAt === undefined || now - provenAt > provenShare * revocationMs;
-    return isAgeing && now - lastReadAt >= proofReadIntervalMs;
+export function shouldProveConfig({ now, provenAt, revocationMs, isPartial, lastReadAt }: ProofState): boolean {
+    const isAgeing = revocationMs !== undefined
+        && (provenAt === undefined || now - provenAt > provenShare * revocationMs);
+    return (isPartial || isAgeing) && now - lastReadAt >= proofReadIntervalMs;
 }
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -12,6 +12,8 @@
     type HostId,
     type Instant,
     type KeyRevision,
+    mayLackOrganisations,
+    type OperatorView,
     type PeerNetwork,
     type PeerRequests,
     type PlatformDocuments,
@@ -98,6 +100,10 @@
     private lastPulledView: PulledView | undefined;
     /** When this host's last own read of the operators' documents began. */
     private operatorReadAt = -Infinity as Instant;
+    /** Revision of the newest configuration that this host read itself. */
+    private readRevision: ConfigRevision | undefined;
+    /** Whether the conductor's configuration may lack organisations that the store has. */
+    private isConfigPartial = false;
 
     constructor(
         private readonly options: ViewTaskOptions,
@@ -183,11 +189,11 @@
     }
 
     private shouldProveConfig(): boolean {
-        const { revocationMs } = this.options.settings;
-        return revocationMs !== undefined && shouldProveConfig({
+        return shouldProveConfig({
             now: this.clock.now(),
             provenAt: this.view.configProvenAt,
-            revocationMs,
+            revocationMs: this.options.settings.revocationMs,
+            isPartial: this.isConfigPartial,
             lastReadAt: this.operatorReadAt,
         });
     }
@@ -195,7 +201,21 @@
     private async readOperator(): Promise<void> {
         const startedAt = this.clock.now();
         this.operatorReadAt = startedAt;
-        (await this.documents.readOperator()).ifRight(read => this.view.applyOperatorRead(read, startedAt));
+        (await this.documents.readOperator()).ifRight(read => {
+            this.view.applyOperatorRead(read, startedAt);
+            this.readRevision = read.config?.revision ?? this.readRevision;
+            this.isConfigPartial = false;
+        });
+    }
+
+    /**
+     * Applies the operators' documents of a conductor. One of earlier software leaves organisations out, without which requests
+     * need no credential, so a host that has some takes the next configuration from the store.
+     */
+    private applyOperatorOfConductor(operator: OperatorView, proofAgeMs: number | undefined): void {
+        this.isConfigPartial = mayLackOrganisations(operator.config, proofAgeMs, this.readRevision);
+        const isWithheld = this.isConfigPartial && this.view.hasOrganisations;
+        this.view.applyOperator(isWithheld ? { ...operator, config: undefined } : operator, "conductor");
     }
 
     private async readTargets(): Promise<void> {
@@ -315,7 +335,7 @@
             this.view.confirmTargets(shared.ageMs, readStartedAt);
         }
         else {
-            this.view.applyOperator(shared.content.operator, "conductor");
+            this.applyOperatorOfConductor(shared.content.operator, shared.configProofAgeMs);
             this.view.applyTargets(shared.content.targets, shared.ageMs, readStartedAt);
         }
         const provenAt = provenByAnswer(pulledAt, shared.configProofAgeMs, config, this.view.routes?.config.revision);
--- a/packages/rollout/src/lib/configProofs.test.ts
+++ b/packages/rollout/src/lib/configProofs.test.ts
@@ -247,9 +247,11 @@
     }
 }
 
-/** What a host of earlier software answers. */
+/** What a host of earlier software answers: it knows neither proofs nor organisations. */
 function withoutProof({ number, ageMs, content, limits, crashes }: ConductorView): ConductorView {
-    return { number, ageMs, content, ...(limits && { limits }), ...(crashes && { crashes }) };
+    const config = content?.operator.config && { ...content.operator.config, organisations: undefined };
+    const known = content && { ...content, operator: { ...content.operator, config } };
+    return { number, ageMs, content: known, ...(limits && { limits }), ...(crashes && { crashes }) };
 }
 
 const instant = fc.integer({ min: 0, max: 9000 });
@@ -328,6 +330,23 @@
         }
     });
 
+    // Guards against hosts that need no credential, since a conductor of earlier software passes organisations on to nobody.
+    it("comes with the organisations that a conductor of earlier software leaves out, at one read for each change", async () => {
+        const changes = [4000, 8000].map(at => ({ at, isReadable: true }));
+        const earlier: Conditions = { ...calm, isConductorOfEarlierSoftware: true, revocationMs: undefined, changes };
+        const simulation = new Simulation(earlier);
+        const open: number[] = [];
+        await simulation.run(11_000, ({ number, view }, now) => {
+            if (now > 500 && !view.hasOrganisations) {
+                open.push(number);
+            }
+        });
+        simulation.stop();
+        expect(open).to.deep.equal([]);
+        expect(simulation.hosts.map(({ view }) => view.routes?.config.revision)).to.deep.equal([2, 2, 2]);
+        expect(simulation.reads[1]).to.be.within(3, 4);
+    });
+
     it("is not given by a document that cannot be decoded", async () => {
         const simulation = new Simulation({ ...calm, changes: [{ at: 5000, isReadable: false }] });
         await simulation.run(12_000);
