Prove the configuration through another host where the store turns hosts away

Cause: a conductor that the store turned away passed an ageing proof on, and a follower that was turned away as well refused all keys, although a third host read the documents.

Change: answers to conductor-ask tell the revision and the age of the proof (optional), and count as those to a pull; a conductor with an ageing proof asks followers and seeds.

--- a/packages/core/src/lib/config/configProof.ts
+++ b/packages/core/src/lib/config/configProof.ts
@@ -104,9 +104,12 @@
     readonly lastReadAt: Instant;
 }
 
+/** Whether a proof is older than usual, so that one from elsewhere is needed; never where revocation is not strict. */
+export function isProofAgeing(now: Instant, provenAt: Instant | undefined, revocationMs: number | undefined): boolean {
+    return revocationMs !== undefined && (provenAt === undefined || now - provenAt > provenShare * revocationMs);
+}
+
 /** Whether a host that does not conduct reads the operators' documents itself to prove its configuration. */
 export function shouldProveConfig({ now, provenAt, revocationMs, isPartial, lastReadAt }: ProofState): boolean {
-    const isAgeing = revocationMs !== undefined
-        && (provenAt === undefined || now - provenAt > provenShare * revocationMs);
-    return (isPartial || isAgeing) && now - lastReadAt >= proofReadIntervalMs;
+    return (isPartial || isProofAgeing(now, provenAt, revocationMs)) && now - lastReadAt >= proofReadIntervalMs;
 }
--- a/packages/core/src/lib/ports/PeerRequests.ts
+++ b/packages/core/src/lib/ports/PeerRequests.ts
@@ -10,6 +10,7 @@
 import {
     type AttemptId,
     type CallerId,
+    type ConfigRevision,
     type HostId,
     type Incarnation,
     type JobId,
@@ -379,6 +380,10 @@
             readonly conductor: HostId | undefined;
             readonly fence?: KeyRevision;
             readonly zone: ZoneId;
+            /** Revision of the receiver's configuration; undefined at earlier software, as the next one. */
+            readonly config?: ConfigRevision | undefined;
+            /** Age of the proof of that configuration at the arrival of the request, as in `ConductorView`. */
+            readonly configProofAgeMs?: number | undefined;
         };
     };
     /**
--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -11,12 +11,14 @@
     configWatchWaitMs,
     type HostId,
     type Instant,
+    isProofAgeing,
     type KeyRevision,
     mayLackOrganisations,
     type OperatorView,
     type PeerNetwork,
     type PeerRequests,
     type PlatformDocuments,
+    proofAgeAtArrival,
     provenByAnswer,
     type RelayHost,
     shouldProveConfig,
@@ -125,6 +127,8 @@
                 conductor: isKnown ? conductor.confirmedConductor : undefined,
                 fence: conductor.term.currentClaim?.fence ?? this.lastPulledView?.fence,
                 zone,
+                config: view.routes?.config.revision,
+                configProofAgeMs: proofAgeAtArrival(clock.now(), view.configProvenAt),
             });
         });
     }
@@ -233,7 +237,10 @@
         const host = this.conductor.conductor;
         if (this.conductor.isConductor) {
             await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
-            if (!this.conductor.isSure) {
+            const { revocationMs } = this.options.settings;
+            const isAgeing = isProofAgeing(this.clock.now(), this.view.configProvenAt, revocationMs);
+            // A host that the store turns away may conduct; others that read the documents prove the configuration for it.
+            if (!this.conductor.isSure || isAgeing) {
                 await this.checkForSuccessor();
             }
             return;
@@ -338,11 +345,16 @@
             this.applyOperatorOfConductor(shared.content.operator, shared.configProofAgeMs);
             this.view.applyTargets(shared.content.targets, shared.ageMs, readStartedAt);
         }
-        const provenAt = provenByAnswer(pulledAt, shared.configProofAgeMs, config, this.view.routes?.config.revision);
+        this.recordProof(pulledAt, shared.configProofAgeMs, config);
+        return true;
+    }
+
+    /** Records what an answer about the configuration of revision `answered` proves; the request was sent at `askedAt`. */
+    private recordProof(askedAt: Instant, proofAgeMs: number | undefined, answered: ConfigRevision | undefined): void {
+        const provenAt = provenByAnswer(askedAt, proofAgeMs, answered, this.view.routes?.config.revision);
         if (provenAt !== undefined) {
             this.view.recordConfigProof(provenAt);
         }
-        return true;
     }
 
     /** Asks recent followers and the seeds for another conductor, in which case this host's claim has lapsed. */
@@ -357,11 +369,15 @@
         }
     }
 
+    /** Asks hosts for the conductor; their answers also prove the configuration, if they have the same one. */
     private async requestConductors(hosts: readonly HostId[]): Promise<readonly ConductorReport[]> {
+        const askedAt = this.clock.now();
         const answers = await Promise.all(hosts.map(async host => {
             this.peers.setAddress(host, host);
-            const res = await this.peers.ask(host, "conductor-ask", {}, after(this.clock.now(), answerMarginMs));
-            return res.toMaybe().chain(answer => answer.toMaybe()).extract();
+            const res = await this.peers.ask(host, "conductor-ask", {}, after(askedAt, answerMarginMs));
+            const report = res.toMaybe().chain(answer => answer.toMaybe()).extract();
+            this.recordProof(askedAt, report?.configProofAgeMs, report?.config);
+            return report;
         }));
         return answers.filter(answer => answer !== undefined);
     }
--- a/packages/rollout/src/lib/configProofs.test.ts
+++ b/packages/rollout/src/lib/configProofs.test.ts
@@ -77,6 +77,8 @@
     /** What this host's clock is ahead of the simulation's. */
     readonly offset: number;
     readonly pull: PullHandler;
+    /** Answers a host that asks for the conductor. */
+    readonly tell: () => Promise<unknown>;
 }
 
 function operatorFixture(revision: number | undefined): OperatorView {
@@ -90,6 +92,10 @@
     };
 }
 
+function followerId(number: number): HostId {
+    return asId<HostId>(`follower-${number}`);
+}
+
 /** A conductor and two followers. */
 class Simulation {
     readonly clock = createSteppingClock(0);
@@ -201,13 +207,22 @@
         const peers = {
             handle: (name: string, handler: PullHandler) => handlers.set(name, handler),
             setAddress: () => undefined,
-            ask: async (unused: HostId, name: string, body: PeerRequests["view-pull"]["ask"]) => {
+            ask: async (asked: HostId, name: string, body: PeerRequests["view-pull"]["ask"]) => {
+                const other = name === "conductor-ask"
+                    ? this.hosts.find(host => asked === followerId(host.number))
+                    : undefined;
+                if (other !== undefined) {
+                    await this.way(other.number);
+                    const answer = await other.tell();
+                    await this.way(number);
+                    return Right(answer);
+                }
                 await this.way(0);
                 if (name !== "view-pull" || this.clock.now() >= this.conditions.silentFrom) {
                     await sleepUntil(this.clock, after(this.clock.now(), 1000));
                     return Left({ reason: "no-answer", detail: name });
                 }
-                const res = await this.hosts[0]!.pull(body, asId<HostId>(`follower-${number}`));
+                const res = await this.hosts[0]!.pull(body, followerId(number));
                 await this.way(number);
                 return Right(this.conditions.isConductorOfEarlierSoftware ? res.map(withoutProof) : res);
             },
@@ -221,7 +236,9 @@
             events: new Emittery(),
             term: { currentClaim: isConductor ? { fence } : undefined },
             recordTerm: () => true,
+            confirmedConductor: conductorId,
             adoptReportedConductor: () => undefined,
+            adoptReportedSuccessor: () => undefined,
             lookUpClaim: async () => true,
         } as unknown as ConductorTask;
         const view = new HostView(clock, this.journal);
@@ -243,7 +260,14 @@
             this.journal,
         );
         task.start();
-        return { number, view, task, offset, pull: (...args) => handlers.get("view-pull")!(...args) };
+        return {
+            number,
+            view,
+            task,
+            offset,
+            pull: (...args) => handlers.get("view-pull")!(...args),
+            tell: async () => (handlers.get("conductor-ask") as unknown as () => Promise<unknown>)(),
+        };
     }
 }
 
@@ -331,6 +355,19 @@
     });
 
     // Guards against hosts that need no credential, since a conductor of earlier software passes organisations on to nobody.
+    // Guards against 503 at hosts that the store turns away while another host reads it.
+    it("reaches the conductor and other hosts without the store through a host that reads it", async () => {
+        const storeCuts = [0, 1].map(host => ({ host, from: 4000 }));
+        const simulation = new Simulation({ ...calm, storeCuts });
+        const oldest = [0, 0, 0];
+        await simulation.run(3000);
+        await simulation.run(16_000, (host, now) => {
+            oldest[host.number] = Math.max(oldest[host.number]!, now - simulation.provenAt(host));
+        });
+        simulation.stop();
+        expect(Math.max(...oldest), oldest.join()).to.be.below(revocationMs - 500);
+    });
+
     it("comes with the organisations that a conductor of earlier software leaves out, at one read for each change", async () => {
         const changes = [4000, 8000].map(at => ({ at, isReadable: true }));
         const earlier: Conditions = { ...calm, isConductorOfEarlierSoftware: true, revocationMs: undefined, changes };
