--- a/packages/rollout/src/lib/ViewTask.ts
+++ b/packages/rollout/src/lib/ViewTask.ts
@@ -11,10 +11,14 @@
     configWatchWaitMs,
     type HostId,
     type Instant,
+    isProofAgeing,
     type KeyRevision,
+    mayLackOrganisations,
+    type OperatorView,
     type PeerNetwork,
     type PeerRequests,
     type PlatformDocuments,
+    proofAgeAtArrival,
     provenByAnswer,
     type RelayHost,
     shouldProveConfig,
@@ -103,6 +107,10 @@
     private lastPulledView: PulledView | undefined;
     /** When this host's last own read of the operators' documents began. */
     private operatorReadAt = -Infinity as Instant;
+    /** Revision of the newest configuration that this host read itself. */
+    private readRevision: ConfigRevision | undefined;
+    /** Whether the conductor's configuration may lack organisations that the store has. */
+    private isConfigPartial = false;
 
     constructor(
         private readonly options: ViewTaskOptions,
@@ -124,6 +132,8 @@
                 conductor: isKnown ? conductor.confirmedConductor : undefined,
                 fence: conductor.term.currentClaim?.fence ?? this.lastPulledView?.fence,
                 zone,
+                config: view.routes?.config.revision,
+                configProofAgeMs: proofAgeAtArrival(clock.now(), view.configProvenAt),
             });
         });
     }
@@ -197,11 +207,11 @@
     }
 
     private shouldProveConfig(): boolean {
-        const { revocationMs } = this.options.settings;
-        return revocationMs !== undefined && shouldProveConfig({
+        return shouldProveConfig({
             now: this.clock.now(),
             provenAt: this.view.configProvenAt,
-            revocationMs,
+            revocationMs: this.options.settings.revocationMs,
+            isPartial: this.isConfigPartial,
             lastReadAt: this.operatorReadAt,
         });
     }
@@ -209,7 +219,21 @@
     private async readOperator(): Promise<void> {
         const startedAt = this.clock.now();
         this.operatorReadAt = startedAt;
-        (await this.documents.readOperator()).ifRight(read => this.view.applyOperatorRead(read, startedAt));
+        (await this.documents.readOperator()).ifRight(read => {
+            this.view.applyOperatorRead(read, startedAt);
+            this.readRevision = read.config?.revision ?? this.readRevision;
+            this.isConfigPartial = false;
+        });
+    }
+
+    /**
+     * Applies the operators' documents of a conductor. One of earlier software leaves organisations out, without which requests
+     * need no credential, so a host that has some takes the next configuration from the store.
+     */
+    private applyOperatorOfConductor(operator: OperatorView, proofAgeMs: number | undefined): void {
+        this.isConfigPartial = mayLackOrganisations(operator.config, proofAgeMs, this.readRevision);
+        const isWithheld = this.isConfigPartial && this.view.hasOrganisations;
+        this.view.applyOperator(isWithheld ? { ...operator, config: undefined } : operator, "conductor");
     }
 
     private async readTargets(): Promise<void> {
@@ -227,7 +251,10 @@
         const host = this.conductor.conductor;
         if (this.conductor.isConductor) {
             await sleepUntil(this.clock, after(this.clock.now(), retryDelayMs));
-            if (!this.conductor.isSure) {
+            const { revocationMs } = this.options.settings;
+            const isAgeing = isProofAgeing(this.clock.now(), this.view.configProvenAt, revocationMs);
+            // A host that the store turns away may conduct; others that read the documents prove the configuration for it.
+            if (!this.conductor.isSure || isAgeing) {
                 await this.checkForSuccessor();
             }
             return;
@@ -329,14 +356,19 @@
             this.view.confirmTargets(shared.ageMs, readStartedAt);
         }
         else {
-            this.view.applyOperator(shared.content.operator, "conductor");
+            this.applyOperatorOfConductor(shared.content.operator, shared.configProofAgeMs);
             this.view.applyTargets(shared.content.targets, shared.ageMs, readStartedAt);
         }
-        const provenAt = provenByAnswer(pulledAt, shared.configProofAgeMs, config, this.view.routes?.config.revision);
+        this.recordProof(pulledAt, shared.configProofAgeMs, config);
+        return true;
+    }
+
+    /** Records what an answer about the configuration of revision `answered` proves; the request was sent at `askedAt`. */
+    private recordProof(askedAt: Instant, proofAgeMs: number | undefined, answered: ConfigRevision | undefined): void {
+        const provenAt = provenByAnswer(askedAt, proofAgeMs, answered, this.view.routes?.config.revision);
         if (provenAt !== undefined) {
             this.view.recordConfigProof(provenAt);
         }
-        return true;
     }
 
     /** Asks recent followers and the seeds for another conductor, in which case this host's claim has lapsed. */
@@ -351,11 +383,15 @@
         }
     }
 
+    /** Asks hosts for the conductor; their answers also prove the configuration, if they have the same one. */
     private async requestConductors(hosts: readonly HostId[]): Promise<readonly ConductorReport[]> {
+        const askedAt = this.clock.now();
         const answers = await Promise.all(hosts.map(async host => {
             this.peers.setAddress(host, host);
-            const res = await this.peers.ask(host, "conductor-ask", {}, after(this.clock.now(), answerMarginMs));
-            return res.toMaybe().chain(answer => answer.toMaybe()).extract();
+            const res = await this.peers.ask(host, "conductor-ask", {}, after(askedAt, answerMarginMs));
+            const report = res.toMaybe().chain(answer => answer.toMaybe()).extract();
+            this.recordProof(askedAt, report?.configProofAgeMs, report?.config);
+            return report;
         }));
         return answers.filter(answer => answer !== undefined);
     }
