Count engines that restart in the limits of their zone, and keep the slots in use

Cause: room in a zone and the number after a reduction were counted from the listed engines. Nothing kept the engines in use either: with a demand of 80 slots and all 256 in use, four engines were given back in one pass.

Change: RecentEngines follows the list at every host and counts those that are missing without a notice, for boot time plus 2 s. They take room, and no engine of such a group is given back. The slots that remain are no fewer than those in use.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export * from "./lib/capacity/DemandWindow.js";
 export * from "./lib/capacity/EngineGroup.js";
 export * from "./lib/capacity/OrderBook.js";
+export * from "./lib/capacity/RecentEngines.js";
 export * from "./lib/capacity/Scaling.js";
 export * from "./lib/capacity/SlotPace.js";
 export * from "./lib/conduct/ConductorPreference.js";
--- a/packages/core/src/lib/capacity/CapacityInput.ts
+++ b/packages/core/src/lib/capacity/CapacityInput.ts
@@ -16,6 +16,8 @@
     readonly isPeakCertain: boolean;
     /** Whether an open job is past its due time, or needs more slots than there are to end by it. */
     readonly isLate: boolean;
+    /** Slots in use. Tasks run as early as there are slots, so these may be more than are needed. */
+    readonly busySlots: number;
 }
 
 /** What the planner decides on. */
@@ -49,7 +51,7 @@
     return scaling.zonePrices.flatMap(({ zone }) =>
         kinds.map(kind =>
             groups.find(group => group.zone === zone && group.kind === kind)
-                ?? { zone, kind, ready: 0, leaving: 0, lastOrder: undefined, blockedUntil: undefined }
+                ?? { zone, kind, ready: 0, leaving: 0, missing: 0, lastOrder: undefined, blockedUntil: undefined }
         )
     );
 }
@@ -84,7 +86,7 @@
 
 /**
  * How many engines may be added to a zone that has the engines in `options`. Those that leave, or that an order takes away,
- * count until they are gone.
+ * count until they are gone; those that restart count although they are not listed.
  */
 export function roomsOf(
     { scaling, groups }: CapacityInput,
@@ -93,7 +95,7 @@
     return ({ zone }) =>
         scaling.maxPerZone - inZone(options, zone).reduce((sum, { kind, count }) => {
             const group = groups.find(each => each.zone === zone && each.kind === kind);
-            return sum + Math.max(count, group?.ready ?? 0) + (group?.leaving ?? 0);
+            return sum + Math.max(count, group?.ready ?? 0) + (group?.leaving ?? 0) + (group?.missing ?? 0);
         }, 0);
 }
 
--- a/packages/core/src/lib/capacity/EngineGroup.ts
+++ b/packages/core/src/lib/capacity/EngineGroup.ts
@@ -25,6 +25,11 @@
     readonly ready: number;
     /** Listed engines that have announced to leave. */
     readonly leaving: number;
+    /**
+     * Engines that were listed a short time ago, without a notice that they leave, and are not listed now. They restart, and the
+     * platform still counts them, so they take room in their zone.
+     */
+    readonly missing: number;
     readonly lastOrder: LastOrder | undefined;
     /** Until when the platform is not asked for more of these, because it had none; undefined if it was not refused. */
     readonly blockedUntil: Instant | undefined;
@@ -57,9 +62,12 @@
     return group.leaving === 0 && isShown(group, scaling, now);
 }
 
-/** Whether fewer may be ordered; engines that the previous order took away may still be leaving. */
+/**
+ * Whether fewer may be ordered; engines that the previous order took away may still be leaving. An order counts from the listed
+ * engines, so it would take away one more for each engine that is missing.
+ */
 export function canDecrease(group: EngineGroup, scaling: Scaling, now: Instant): boolean {
-    return isShown(group, scaling, now) && (group.leaving === 0 || isReduced(group));
+    return group.missing === 0 && isShown(group, scaling, now) && (group.leaving === 0 || isReduced(group));
 }
 
 /** Whether the engines that leave are those that the last order took away. */
--- a/packages/core/src/lib/capacity/OrderBook.ts
+++ b/packages/core/src/lib/capacity/OrderBook.ts
@@ -10,7 +10,7 @@
 import { type PlannedOrder } from "./CapacityInput.js";
 import { type CapacityRecord, type CapacityTarget } from "./CapacityRecord.js";
 import { type EngineGroup, type LastOrder } from "./EngineGroup.js";
-import { type CapacityKind } from "./Scaling.js";
+import { kindOf, type RecentEngines } from "./RecentEngines.js";
 
 interface BookEntry extends CapacityTarget {
     readonly order: LastOrder;
@@ -47,8 +47,12 @@
         }
     }
 
-    /** The engines of a service by zone and kind. */
-    groups(service: CapacityTarget["service"], targets: readonly TargetEntryView[]): readonly EngineGroup[] {
+    /** The engines of a service by zone and kind: the listed ones, and those that are missing from the list. */
+    groups(
+        service: CapacityTarget["service"],
+        targets: readonly TargetEntryView[],
+        recent: RecentEngines,
+    ): readonly EngineGroup[] {
         const listed = targets.filter(target => target.service === service);
         const keys = [
             ...listed.map(entry => ({ service, zone: entry.zone, kind: kindOf(entry) })),
@@ -62,6 +66,7 @@
                 kind,
                 ready: own.filter(({ leaving }) => !leaving).length,
                 leaving: own.filter(({ leaving }) => leaving).length,
+                missing: recent.missing(service, zone, kind),
                 lastOrder: this.entries.get(key)?.order,
                 blockedUntil: this.blocks.get(key)?.until,
             };
@@ -178,11 +183,6 @@
     }
 }
 
-/** Kind of a listed engine. */
-export function kindOf({ isReclaimable }: TargetEntryView): CapacityKind {
-    return isReclaimable === true ? "reclaimable" : "standing";
-}
-
 function keyOf({ service, zone, kind }: CapacityTarget): string {
     return `${service} ${zone} ${kind}`;
 }
--- a/packages/core/src/lib/capacity/giveBacks.ts
+++ b/packages/core/src/lib/capacity/giveBacks.ts
@@ -99,5 +99,6 @@
     return keepsStanding
         && totalOf(inZone(less, zone)) >= scaling.minPerZone
         && totalOf(less) >= Math.max(1, demand.slots / slotsPerEngine * capacityLimits.giveBackReserve)
+        && totalOf(less) * slotsPerEngine >= demand.busySlots
         && survivorsOf(less) * capacityLimits.afterLossTo >= engines;
 }
--- a/packages/rollout/src/lib/CapacityDemandMeter.ts
+++ b/packages/rollout/src/lib/CapacityDemandMeter.ts
@@ -48,8 +48,8 @@
         const now = this.clock.now();
         // Submission and due times are wall-clock times of other hosts, so they are compared with this host's wall clock.
         const wallNow = Date.now() as Instant;
-        const open = this.scheduler.open.filter(({ terms }) => terms.service === service)
-            .map(job => openWork(job, after(now, job.terms.dueAt - wallNow)));
+        const jobs = this.scheduler.open.filter(({ terms }) => terms.service === service);
+        const open = jobs.map(job => openWork(job, after(now, job.terms.dueAt - wallNow)));
         const ofOpenWork = slotsOfOpenWork(open, slotMsPerToken, bootMs, now);
         const ofSteps = (this.forecasts.get(service)?.tokensPerMs(wallNow) ?? 0) * slotMsPerToken;
         const slots = Math.max(ofOpenWork, ofSteps);
@@ -60,6 +60,7 @@
             slots,
             peakSlots: window.peak(now),
             isPeakCertain: window.isFull(now),
+            busySlots: jobs.reduce((sum, { running }) => sum + running.size, 0),
             isLate: ofOpenWork > servingSlots || open.some(({ dueAt, tasks }) => dueAt <= now && tasks > 0),
         };
     }
--- a/packages/rollout/src/lib/CapacityTask.ts
+++ b/packages/rollout/src/lib/CapacityTask.ts
@@ -20,6 +20,7 @@
     OrderBook,
     planCapacity,
     type PlannedOrder,
+    RecentEngines,
     type Scaling,
     type ServiceSpec,
     showMs,
@@ -78,6 +79,7 @@
 
 /** Sends the orders of engines. */
 export class CapacityTask {
+    private readonly recent = new RecentEngines();
     private term: CapacityTerm | undefined;
     private cancelNext: (() => void) | undefined;
 
@@ -90,7 +92,10 @@
         private readonly platform: DutyPlatform,
         private readonly clock: Clock,
         private readonly journal: Journal,
-    ) {}
+    ) {
+        // The list is followed also while another host conducts, as this host may take over while an engine restarts.
+        view.events.on("changed", () => this.recordList());
+    }
 
     /** Begins a term under the claim that this host holds. */
     activate(): void {
@@ -148,6 +153,7 @@
     }
 
     private async pass(term: CapacityTerm): Promise<void> {
+        this.recordList();
         const now = this.clock.now();
         const isPlanned = now >= term.nextPlanAt;
         // The demand is measured also while no orders may be sent, so that it is known when they may.
@@ -168,6 +174,14 @@
         }
     }
 
+    private recordList(): void {
+        const { services } = this;
+        if (services.length > 0) {
+            const restartMs = Math.max(...services.map(({ scaling }) => showMs(scaling)));
+            this.recent.record(this.view.directory.targets, restartMs, this.clock.now());
+        }
+    }
+
     private measure({ spec, scaling, slotsPerEngine }: ScaledService): CapacityInput["demand"] {
         const serving = this.view.directory.targets.filter(({ service, leaving }) => service === spec.id && !leaving);
         return this.demand.measure(spec.id, scaling, serving.length * slotsPerEngine);
@@ -196,7 +210,7 @@
     }
 
     private groupsOf(book: OrderBook, { id }: ServiceSpec): readonly EngineGroup[] {
-        return book.groups(id, this.view.directory.targets);
+        return book.groups(id, this.view.directory.targets, this.recent);
     }
 
     /** Closes the orders that the list of engines shows. */
