Count the time of a duty call from the check of the lease

Cause: the 700 ms of a call began in PlatformDuties, after canOrder and after the record of the order. A process that was paused between these sent the call up to 700 ms after its resumption, when its lease may be over and another host hold the duty.

Run: PlatformDuties.test.ts (a call after its deadline sends nothing), UsageTask.test.ts, CapacityTask.test.ts, conduct/*.test.ts.

--- a/packages/core/src/lib/conduct/ConductorTerm.ts
+++ b/packages/core/src/lib/conduct/ConductorTerm.ts
@@ -83,6 +83,14 @@
         return this.claim !== undefined && now >= this.ordersNotBefore && now < after(this.validUntil, -orderMarginMs);
     }
 
+    /**
+     * When an order that `canOrder` allowed at `checkedAt` has to end. It counts from the check, so that a process that is paused
+     * between the check and the order does not send it after its lease.
+     */
+    orderDeadline(checkedAt: Instant): Instant {
+        return after(checkedAt, orderMarginMs);
+    }
+
     /** Records that an order is sent at `now`. */
     recordOrder(now: Instant): void {
         this.orderedAt = now;
--- a/packages/core/src/lib/ports/DutyPlatform.ts
+++ b/packages/core/src/lib/ports/DutyPlatform.ts
@@ -4,7 +4,7 @@
  */
 
 import { type CapacityKind } from "../capacity/Scaling.js";
-import { type OrganisationId, type ServiceId, type ZoneId } from "../ids.js";
+import { type Instant, type OrganisationId, type ServiceId, type ZoneId } from "../ids.js";
 
 /** The requests of each organisation that began to run in one window. */
 export interface UsageReport {
@@ -26,6 +26,8 @@
 export interface DutyHolder {
     readonly name: string;
     readonly fence: number;
+    /** When the call ends, and from when on nothing of it is sent. */
+    readonly deadline: Instant;
 }
 
 /**
--- a/packages/rollout/src/lib/CapacityTask.ts
+++ b/packages/rollout/src/lib/CapacityTask.ts
@@ -187,9 +187,9 @@
         return this.demand.measure(spec.id, scaling, serving.length * slotsPerEngine);
     }
 
-    private canOrder({ claim }: CapacityTerm): boolean {
+    private canOrder({ claim }: CapacityTerm, now = this.clock.now()): boolean {
         const { term } = this.conductor;
-        return this.term?.claim === claim && term.currentClaim === claim && term.canOrder(this.clock.now());
+        return this.term?.claim === claim && term.currentClaim === claim && term.canOrder(now);
     }
 
     private async readRecord(term: CapacityTerm): Promise<void> {
@@ -284,10 +284,11 @@
         const ends: DutyCallEnd[] = [];
         const { ledger } = term;
         for (const order of ledger?.book.due(this.clock.now()) ?? []) {
-            if (!this.canOrder(term)) {
+            const checkedAt = this.clock.now();
+            if (!this.canOrder(term, checkedAt)) {
                 break;
             }
-            const end = await this.send(term.claim, order);
+            const end = await this.send(term.claim, order, checkedAt);
             ledger!.book.recordEnd(order, end, this.clock.now());
             ends.push(end);
             if (end === "no-answer" || end === "busy") {
@@ -297,10 +298,11 @@
         return ends;
     }
 
-    private async send({ fence }: ConductorClaim, order: CapacityOrder): Promise<DutyCallEnd> {
-        const sentAt = this.clock.now();
-        this.conductor.term.recordOrder(sentAt);
-        const end = await this.platform.orderCapacity(order, { name: this.self, fence });
+    private async send({ fence }: ConductorClaim, order: CapacityOrder, sentAt: Instant): Promise<DutyCallEnd> {
+        const { term } = this.conductor;
+        term.recordOrder(sentAt);
+        const holder = { name: this.self, fence, deadline: term.orderDeadline(sentAt) };
+        const end = await this.platform.orderCapacity(order, holder);
         const { service, zone, kind, count } = order;
         const ms = this.clock.now() - sentAt;
         this.journal.log("capacity-sent", { service, zone, kind, count, fence, end, ms });
--- a/packages/rollout/src/lib/UsageTask.ts
+++ b/packages/rollout/src/lib/UsageTask.ts
@@ -276,7 +276,11 @@
             return;
         }
         term.recordOrder(sentAt);
-        const end = await this.duties.reportUsage(report, { name: this.options.name, fence: claim.fence });
+        const end = await this.duties.reportUsage(report, {
+            name: this.options.name,
+            fence: claim.fence,
+            deadline: term.orderDeadline(sentAt),
+        });
         this.outcomes.set(end, this.countOf(end) + 1);
         const isSettled = reporter.recordCall(report.window, end, this.clock.now());
         this.journal.log("usage-reported", {
