Wait for the counts of hosts that are cut off for 5 s, also after a change of the conductor

Cause: a window was fixed 4 s after its end at the latest, so a host that was cut off for 5 s around the end came too late.

Change: the limit is 6 s. For the windows that began before its term, a conductor waits as long until as many hosts have reported as the last conductor counted, less that one. A report is late by up to 1 s if the holder is lost in the last second of that time; a part of the hosts that is cut off is far more frequent.

--- a/packages/core/src/lib/duties/UsageLedger.ts
+++ b/packages/core/src/lib/duties/UsageLedger.ts
@@ -71,6 +71,11 @@
         return [...this.presentWindows.values()].every(present => present !== window);
     }
 
+    /** Number of processes that have reported since the end of a window. */
+    hostsHeardAfter(window: number): number {
+        return [...this.presentWindows.values()].filter(present => present > window).length;
+    }
+
     /** Records that the windows up to `window` are fixed, with the counts that `countsOf` gave if `isOwn`. */
     recordFixed(window: number, isOwn: boolean): void {
         this.newestFixed = Math.max(window, this.newestFixed);
--- a/packages/core/src/lib/duties/UsageReporter.ts
+++ b/packages/core/src/lib/duties/UsageReporter.ts
@@ -17,10 +17,11 @@
 const fixDelayMs = 2500;
 
 /**
- * The same if a host that reported during the window has not done so since. The report is due 10 s after the end, and a
- * successor may need 4.5 s from the loss of this host until it may send calls.
+ * The same if a host that reported during the window has not done so since: a zone may be cut off for 5 s, and its hosts need
+ * up to a pull to return. The report is due 10 s after the end. A successor may need 5 s from the loss of this host until it
+ * may send calls, so a report is late if a host is cut off and the holder is lost in the last second of this time.
  */
-const maxFixDelayMs = 4000;
+const maxFixDelayMs = 6000;
 
 /** Milliseconds from the begin of a term until windows are fixed, within which hosts find the new conductor. */
 const takeOverDelayMs = 2000;
@@ -63,13 +64,17 @@
     private nextReadAt = -Infinity as Instant;
     private nextCallAt = -Infinity as Instant;
 
-    /** The term begins at `begunAt`, which is `timeOfDay` in Unix milliseconds. `callIntervalMs` is the least time between calls. */
+    /**
+     * The term begins at `begunAt`, which is `timeOfDay` in Unix milliseconds. `callIntervalMs` is the least time between calls,
+     * and `expectedHosts` the number of hosts that are waited for in the windows that began before the term.
+     */
     constructor(
         private readonly ledger: UsageLedger,
         private readonly windowMs: number,
         private readonly callIntervalMs: number,
         private readonly begunAt: Instant,
         private readonly timeOfDay: number,
+        private readonly expectedHosts: number,
     ) {}
 
     /** The newest fixed window in the store, or undefined while it is not known. */
@@ -155,13 +160,23 @@
         return { fixedTo: first - 1, unreported: [] };
     }
 
+    /**
+     * Whether all hosts have reported since the end of a window. Which hosts reported to the predecessor during the window is not
+     * known, but how many they were.
+     */
+    private isComplete(window: number): boolean {
+        const isOfThisTerm = window * this.windowMs >= this.timeOfDay;
+        return this.ledger.isComplete(window)
+            && (isOfThisTerm || this.ledger.hostsHeardAfter(window) >= this.expectedHosts);
+    }
+
     /** The windows whose counts may be fixed, in their order. */
     private dueWindows({ fixedTo }: UsageRecord, timeOfDay: number): readonly UsageReport[] {
         const newest = windowAt(timeOfDay - fixDelayMs, this.windowMs) - 1;
         const due: UsageReport[] = [];
         for (let window = firstWindowToFix(fixedTo, newest); window <= newest; window++) {
             const isOverdue = timeOfDay >= (window + 1) * this.windowMs + maxFixDelayMs;
-            if (!isOverdue && !this.ledger.isComplete(window)) {
+            if (!isOverdue && !this.isComplete(window)) {
                 break;
             }
             due.push({ window, counts: this.ledger.countsOf(window) });
--- a/packages/rollout/src/lib/RequestPermits.ts
+++ b/packages/rollout/src/lib/RequestPermits.ts
@@ -74,6 +74,7 @@
     private readonly pacer = new RequestPacer();
     private alonePacer = new RequestPacer(aloneShare / defaultHostCount);
     private hostCount = defaultHostCount;
+    private isHostCountKnown = false;
     private readonly reporter: ConductorReporter<TargetId>;
     private readonly reportedAt = new Map<TargetId, Instant>();
     private readonly changeListeners = new Set<() => void>();
@@ -172,8 +173,14 @@
         return this.hostCount;
     }
 
+    /** The number that a conductor told; undefined before the first one did. */
+    get toldHosts(): number | undefined {
+        return this.isHostCountKnown ? this.hostCount : undefined;
+    }
+
     /** Sets the number of hosts, as the conductor counts them. */
     setHostCount(hosts: number): void {
+        this.isHostCountKnown = true;
         if (hosts !== this.hostCount) {
             this.hostCount = hosts;
             this.alonePacer = new RequestPacer(aloneShare / Math.max(1, hosts));
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -535,7 +535,8 @@
             return undefined;
         }
         const { usageWindowMs: windowMs, maxCallsPerSecond } = duties;
-        const options = { self, name, windowMs, maxCallsPerSecond, timeOfDay };
+        const hostsBefore = (): number | undefined => this.permits.toldHosts;
+        const options = { self, name, windowMs, maxCallsPerSecond, timeOfDay, hostsBefore };
         return new UsageTask(options, this.conductor, store, platform, peers, clock, journal);
     }
 
--- a/packages/rollout/src/lib/UsageTask.ts
+++ b/packages/rollout/src/lib/UsageTask.ts
@@ -44,6 +44,8 @@
     readonly maxCallsPerSecond: number;
     /** Unix milliseconds. */
     readonly timeOfDay: () => number;
+    /** Number of hosts as the last conductor that this host followed counted them; undefined if there was none. */
+    readonly hostsBefore: () => number | undefined;
 }
 
 /** Share of the platform's calls that the reports of use may take; the rest is for orders of capacity. */
@@ -156,9 +158,18 @@
             return;
         }
         const { clock, journal } = this;
-        const { windowMs, maxCallsPerSecond, timeOfDay } = this.options;
+        const { windowMs, maxCallsPerSecond, timeOfDay, hostsBefore } = this.options;
+        // The last conductor may be lost.
+        const expectedHosts = (hostsBefore() ?? 0) - 1;
         const callIntervalMs = 1000 / (maxCallShare * maxCallsPerSecond);
-        const reporter = new UsageReporter(this.ledger, windowMs, callIntervalMs, clock.now(), timeOfDay());
+        const reporter = new UsageReporter(
+            this.ledger,
+            windowMs,
+            callIntervalMs,
+            clock.now(),
+            timeOfDay(),
+            expectedHosts,
+        );
         this.reporter = reporter;
         const isEnded = (): boolean => term.currentClaim !== claim || this.reporter !== reporter;
         void repeatUntil(isEnded, () => this.takeStep(reporter, claim), { name: "report use", clock, journal });
