--- a/packages/rollout/src/lib/CapacityDemandMeter.ts
+++ b/packages/rollout/src/lib/CapacityDemandMeter.ts
@@ -63,6 +63,7 @@
             slots,
             peakSlots: window.peak(now),
             isPeakCertain: window.isFull(now),
+            busySlots: jobs.reduce((sum, { running }) => sum + running.size, 0),
             isLate: ofOpenWork > servingSlots || open.some(({ wantedAt, tasks }) => wantedAt <= now && tasks > 0),
         };
     }
--- a/packages/rollout/src/lib/CapacityTask.ts
+++ b/packages/rollout/src/lib/CapacityTask.ts
@@ -20,6 +20,7 @@
     OrderBook,
     planCapacity,
     type PlannedOrder,
+    RecentEngines,
     type Scaling,
     type ServiceSpec,
     showMs,
@@ -78,6 +79,7 @@
 
 /** Sends the orders of engines. */
 export class CapacityTask {
+    private readonly recent = new RecentEngines();
     private term: CapacityTerm | undefined;
     private cancelNext: (() => void) | undefined;
 
@@ -90,7 +92,10 @@
         private readonly platform: DutyPlatform,
         private readonly clock: Clock,
         private readonly journal: Journal,
-    ) {}
+    ) {
+        // The list is followed also while another host conducts, as this host may take over while an engine restarts.
+        view.events.on("changed", () => this.recordList());
+    }
 
     /** Begins a term under the claim that this host holds. */
     activate(): void {
@@ -148,6 +153,7 @@
     }
 
     private async pass(term: CapacityTerm): Promise<void> {
+        this.recordList();
         const now = this.clock.now();
         const isPlanned = now >= term.nextPlanAt;
         // The demand is measured also while no orders may be sent, so that it is known when they may.
@@ -168,14 +174,22 @@
         }
     }
 
+    private recordList(): void {
+        const { services } = this;
+        if (services.length > 0) {
+            const restartMs = Math.max(...services.map(({ scaling }) => showMs(scaling)));
+            this.recent.record(this.view.directory.targets, restartMs, this.clock.now());
+        }
+    }
+
     private measure({ spec, slotsPerEngine }: ScaledService): CapacityInput["demand"] {
         const serving = this.view.directory.targets.filter(({ service, leaving }) => service === spec.id && !leaving);
         return this.demand.measure(spec.id, serving.length * slotsPerEngine);
     }
 
-    private canOrder({ claim }: CapacityTerm): boolean {
+    private canOrder({ claim }: CapacityTerm, now = this.clock.now()): boolean {
         const { term } = this.conductor;
-        return this.term?.claim === claim && term.currentClaim === claim && term.canOrder(this.clock.now());
+        return this.term?.claim === claim && term.currentClaim === claim && term.canOrder(now);
     }
 
     private async readRecord(term: CapacityTerm): Promise<void> {
@@ -196,7 +210,7 @@
     }
 
     private groupsOf(book: OrderBook, { id }: ServiceSpec): readonly EngineGroup[] {
-        return book.groups(id, this.view.directory.targets);
+        return book.groups(id, this.view.directory.targets, this.recent);
     }
 
     /** Closes the orders that the list of engines shows. */
@@ -270,10 +284,11 @@
         const ends: DutyCallEnd[] = [];
         const { ledger } = term;
         for (const order of ledger?.book.due(this.clock.now()) ?? []) {
-            if (!this.canOrder(term)) {
+            const checkedAt = this.clock.now();
+            if (!this.canOrder(term, checkedAt)) {
                 break;
             }
-            const end = await this.send(term.claim, order);
+            const end = await this.send(term.claim, order, checkedAt);
             ledger!.book.recordEnd(order, end, this.clock.now());
             ends.push(end);
             if (end === "no-answer" || end === "busy") {
@@ -283,10 +298,11 @@
         return ends;
     }
 
-    private async send({ fence }: ConductorClaim, order: CapacityOrder): Promise<DutyCallEnd> {
-        const sentAt = this.clock.now();
-        this.conductor.term.recordOrder(sentAt);
-        const end = await this.platform.orderCapacity(order, { name: this.self, fence });
+    private async send({ fence }: ConductorClaim, order: CapacityOrder, sentAt: Instant): Promise<DutyCallEnd> {
+        const { term } = this.conductor;
+        term.recordOrder(sentAt);
+        const holder = { name: this.self, fence, deadline: term.orderDeadline(sentAt) };
+        const end = await this.platform.orderCapacity(order, holder);
         const { service, zone, kind, count } = order;
         const ms = this.clock.now() - sentAt;
         this.journal.log("capacity-sent", { service, zone, kind, count, fence, end, ms });
