Give engines back also while others of their group restart

Change: the number of such an order counts the missing engines, so that it takes away exactly one. An order is shown when the listed and missing engines are as many as it names.

Run: taskReplay.test.ts, CapacityPlanner.test.ts, OrderBook.test.ts, CapacityTask.test.ts: 31 pass.

--- a/packages/core/src/lib/capacity/EngineGroup.ts
+++ b/packages/core/src/lib/capacity/EngineGroup.ts
@@ -62,17 +62,20 @@
     return group.leaving === 0 && isShown(group, scaling, now);
 }
 
-/**
- * Whether fewer may be ordered; engines that the previous order took away may still be leaving. An order counts from the listed
- * engines, so it would take away one more for each engine that is missing.
- */
+/** Whether fewer may be ordered; engines that the previous order took away may still be leaving. */
 export function canDecrease(group: EngineGroup, scaling: Scaling, now: Instant): boolean {
-    return group.missing === 0 && isShown(group, scaling, now) && (group.leaving === 0 || isReduced(group));
+    return isShown(group, scaling, now) && (group.leaving === 0 || isReduced(group));
 }
 
 /** Whether the engines that leave are those that the last order took away. */
-export function isReduced({ ready, lastOrder }: EngineGroup): boolean {
-    return lastOrder !== undefined && lastOrder.count < lastOrder.previous && lastOrder.count === ready;
+export function isReduced(group: EngineGroup): boolean {
+    const { lastOrder } = group;
+    return lastOrder !== undefined && lastOrder.count < lastOrder.previous && lastOrder.count === stayingCount(group);
+}
+
+/** The engines that stay as the platform counts them: those that restart are among them. */
+export function stayingCount({ ready, missing }: Pick<EngineGroup, "ready" | "missing">): number {
+    return ready + missing;
 }
 
 /** Whether the list does not show yet that the last order takes engines away. */
@@ -81,9 +84,11 @@
     return lastOrder !== undefined && lastOrder.count < lastOrder.previous && !isShown(group, scaling, now);
 }
 
-function isShown({ ready, lastOrder }: EngineGroup, scaling: Scaling, now: Instant): boolean {
+function isShown(group: EngineGroup, scaling: Scaling, now: Instant): boolean {
+    const { lastOrder } = group;
     return lastOrder === undefined
-        || !lastOrder.isOpen && (lastOrder.count === ready || now >= after(lastOrder.at, showMs(scaling)));
+        || !lastOrder.isOpen
+            && (lastOrder.count === stayingCount(group) || now >= after(lastOrder.at, showMs(scaling)));
 }
 
 /** Price of a second of one engine of a zone and kind; undefined where there are none to order. */
--- a/packages/core/src/lib/capacity/OrderBook.ts
+++ b/packages/core/src/lib/capacity/OrderBook.ts
@@ -9,7 +9,7 @@
 import { type CapacityOrder, type DutyCallEnd } from "../ports/DutyPlatform.js";
 import { type PlannedOrder } from "./CapacityInput.js";
 import { type CapacityRecord, type CapacityTarget } from "./CapacityRecord.js";
-import { type EngineGroup, type LastOrder } from "./EngineGroup.js";
+import { type EngineGroup, type LastOrder, stayingCount } from "./EngineGroup.js";
 import { kindOf, type RecentEngines } from "./RecentEngines.js";
 
 interface BookEntry extends CapacityTarget {
@@ -149,7 +149,8 @@
         for (const entry of this.open.filter(each => each.service === service)) {
             const { zone, kind, order } = entry;
             const group = groups.find(each => each.zone === zone && each.kind === kind);
-            const isShown = order.count !== order.previous && group?.ready === order.count;
+            const isShown = order.count !== order.previous && group !== undefined
+                && stayingCount(group) === order.count;
             if (isShown || now >= after(order.at, showMs)) {
                 this.entries.set(keyOf(entry), { ...entry, order: { ...order, isOpen: false } });
             }
--- a/packages/core/src/lib/capacity/giveBacks.ts
+++ b/packages/core/src/lib/capacity/giveBacks.ts
@@ -43,7 +43,9 @@
             );
         const reason = reasonFor(input, demand, option, serving, replacement);
         if (reason !== undefined && isFree && isEnough(input, demand, less, option)) {
-            orders.push({ zone, kind, from: option.count, to: option.count - 1, reason });
+            // The platform counts engines that restart; without them, the order would take away more than one.
+            const from = option.count + (own.find(group => group.kind === kind)?.missing ?? 0);
+            orders.push({ zone, kind, from, to: from - 1, reason });
             serving = less;
         }
     }
