--- a/packages/core/src/lib/capacity/CapacityInput.ts
+++ b/packages/core/src/lib/capacity/CapacityInput.ts
@@ -10,9 +10,9 @@
 export interface CapacityDemand {
     /** Slots needed now. */
     readonly slots: number;
-    /** The highest need of the last 20 s; undefined while it is known for less than half of that. */
+    /** The highest need of the last 10 s; undefined while it is known for less than half of that. */
     readonly peakSlots: number | undefined;
-    /** Whether the need is known for 20 s, from when on engines may be given back. */
+    /** Whether the need is known for 10 s, from when on engines may be given back. */
     readonly isPeakCertain: boolean;
     /** Whether an open job is past its due time, or needs more slots than there are to end by it. */
     readonly isLate: boolean;
--- a/packages/core/src/lib/capacity/DemandWindow.ts
+++ b/packages/core/src/lib/capacity/DemandWindow.ts
@@ -1,12 +1,12 @@
 /**
- * The demand of the last 20 s. Steps come every 4 s and make the demand rise and fall with each; engines are given back
- * by the highest demand of a time that spans some steps, so that they are not ordered again with the next one.
+ * The demand of the last 10 s. Steps come every 4 s and make the demand rise and fall with each; engines are given back
+ * by the highest demand of a time that spans two steps, so that they are not ordered again with the next one.
  */
 
 import { type Instant } from "../ids.js";
 
 /** Milliseconds that the demand must have been known for before engines are given back. */
-const windowMs = 20_000;
+const windowMs = 10_000;
 
 /** Milliseconds from which the peak is used to order cheaper engines, so that these serve when the window is full. */
 const minKnownMs = 5000;
@@ -33,7 +33,7 @@
         this.samples = [...this.samples.filter(({ at }) => now - at <= windowMs), { at: now, slots }];
     }
 
-    /** The highest demand of the last 20 s in slots; undefined while it is known for less than half of that. */
+    /** The highest demand of the last 10 s in slots; undefined while it is known for less than half of that. */
     peak(now: Instant): number | undefined {
         return this.since === undefined || now - this.since < minKnownMs
             ? undefined
--- a/packages/core/src/lib/capacity/capacityLimits.ts
+++ b/packages/core/src/lib/capacity/capacityLimits.ts
@@ -3,7 +3,7 @@
     /** Utilisation above which engines are ordered, and the one that is ordered for. */
     orderAbove: 0.75,
     orderTo: 0.68,
-    /** Utilisation of the last 20 s below which engines are given back. */
+    /** Utilisation of the last 10 s below which engines are given back. */
     giveBackBelow: 0.45,
     /** Slots that remain after engines are given back, as a multiple of the present demand. */
     giveBackReserve: 1.3,
