--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -118,8 +118,6 @@
     /** Until when this process counts as late, because it had more to do than its processor allows or was paused. */
     private lateUntil = 0 as Instant;
     private wasHeld = false;
-    /** Whether tasks waited for memory or prompt budget at the last check. */
-    private lackedRoom = false;
 
     constructor(
         private readonly settings: RolloutSettings,
@@ -206,7 +204,8 @@
             const room = software === undefined ? 0 : freeSlots.get(software) ?? 0;
             if (isAffected && isLong && running.moved === undefined && room > 0) {
                 freeSlots.set(software, room - 1);
-                this.move(run, running, "changing", { gainMs: undefined, remainingMs: 0 });
+                running.moved = "changing";
+                running.stop.abort();
             }
         }
     }
@@ -668,11 +667,9 @@
         this.cancelExpiry = this.clock.callAt(after(this.clock.now(), expiryIntervalMs), () => this.expire());
         this.registry.dropEndedFromMemory();
         const { memory, slots, "prompt-budget": promptBudget } = this.waitingByReason();
-        const lacksRoom = memory + promptBudget > 0;
-        if (lacksRoom || this.lackedRoom) {
+        if (memory + promptBudget > 0) {
             this.journal.log("tasks-waiting", { memory, promptBudget, slots });
         }
-        this.lackedRoom = lacksRoom;
         // Submission times are wall-clock times of other hosts, so they are compared with this host's wall clock.
         const wallNow = Date.now() as ReturnType<Clock["now"]>;
         this.scheduler.expire(wallNow).forEach(({ open, result }) => this.registry.addResult(open, result));
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -52,8 +52,7 @@
     "job-ended": "A job has ended.",
     "starts-held": "The conductor begins or ends to hold tasks back, since ends of jobs may be unknown to it.",
     "task-started": "A task's run at an engine has started.",
-    "tasks-waiting":
-        "Tasks wait, or have waited until now, although engines have free slots; how many, by what is missing.",
+    "tasks-waiting": "Tasks wait although engines have free slots; how many wait for memory, prompts and slots.",
     "event-rejected": "An event does not come next in its text; the run ends, and nothing of it from there on is used.",
     "run-moved": "A run is stopped to go on at another engine, and why.",
     "zone-cut-off": "A zone's runs are silent or unreachable; its silent runs move to other zones at once.",
