--- a/packages/core/src/lib/jobs/Job.ts
+++ b/packages/core/src/lib/jobs/Job.ts
@@ -19,18 +19,6 @@
     readonly body: Uint8Array;
 }
 
-/** A part of a prompt; parts with equal ids have equal texts. */
-export interface PromptPart {
-    readonly id: string;
-    readonly tokens: number;
-}
-
-/** Tokens that a request takes at an engine. */
-export interface TokenUsage {
-    readonly promptTokens: number;
-    readonly maxOutputTokens: number;
-}
-
 /** One completion that a trainer requests. */
 export interface Task {
     readonly id: TaskId;
@@ -45,10 +33,6 @@
     readonly expectedTokens: number | undefined;
     /** Set if the task's result must carry a score. */
     readonly reward: RewardCall | undefined;
-    /** The parts of its prompt in order; the last one is its own, the others are shared. Undefined if not described. */
-    readonly prompt?: readonly PromptPart[] | undefined;
-    /** Undefined if not described. */
-    readonly usage?: TokenUsage | undefined;
 }
 
 /** A batch of tasks, accepted as a whole. */
--- a/packages/core/src/lib/jobs/JobScheduler.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.ts
@@ -21,15 +21,9 @@
 } from "../ids.js";
 import { type TaskText } from "../ports/PeerRequests.js";
 import { chooseEngine, type EngineCapacity } from "./enginePlacement.js";
-import { EventLengths } from "./EventLengths.js";
 import { type Job, type Task, type TaskResult } from "./Job.js";
-import { JobDemands } from "./JobDemands.js";
 import { type JobLog } from "./JobLog.js";
-import { type JobDemand, type OrderedJob } from "./jobOrder.js";
-import { ageingMs } from "./PromptBudget.js";
-import { type PromptSize, promptSizeOf } from "./promptSize.js";
 import { fitSoftware } from "./softwareFit.js";
-import { type AdmissionPass, TaskAdmission, type WaitReason } from "./TaskAdmission.js";
 import { orderTasks } from "./taskOrder.js";
 import { type ProgressSnapshot, TaskProgress, type TextId } from "./TaskProgress.js";
 
@@ -50,8 +44,6 @@
     readonly task: Task;
     readonly job: OpenJob;
     readonly progress: TaskProgress;
-    /** Undefined if the task does not describe its prompt. */
-    readonly size: PromptSize | undefined;
     /** Number of runs that an engine answered with a failure. */
     failures: number;
     /** The task is not started before this time. */
@@ -66,12 +58,6 @@
     softwareWaitUntil: Instant | undefined;
     /** Number of times that its text has begun again because no engine could go on with it. */
     restarts: number;
-    /** Until when it is not moved again to end earlier, since it has been moved; undefined before the first move. */
-    stayUntil: Instant | undefined;
-    /** Since when it waits although an engine had a free slot; undefined while it does not. */
-    passedOverSince: Instant | undefined;
-    /** Why no engine admitted it when it was last considered; undefined if one did or none had a free slot. */
-    blockedBy: WaitReason | undefined;
 }
 
 /** A job that has not ended. */
@@ -86,9 +72,6 @@
     readonly scoring: Set<TaskRun>;
     /** Mean of the tokens that its tasks are expected to take. */
     readonly meanTokens: number;
-    readonly groupCount: number;
-    /** Groups with a failed task, which cannot become complete. */
-    readonly failedGroups: Set<GroupId>;
 }
 
 /** A task to start and its engine. */
@@ -106,12 +89,6 @@
     readonly software: SoftwareVersion | undefined;
 }
 
-/** A run to start, and the engines that may start it. */
-interface RunChoice {
-    readonly run: TaskRun;
-    readonly engines: readonly EngineCapacity[];
-}
-
 /** How a run ended. After "broken" the next run resumes after the text read so far. */
 export type RunEnd = "completed" | "failed" | "impossible" | "broken" | "not-run";
 
@@ -129,11 +106,6 @@
     private readonly jobs = new Map<JobId, OpenJob>();
     private readonly retainedTexts = new Map<TaskId, TaskProgress>();
     private readonly groupTargets = new Map<GroupId, TargetId>();
-    private readonly admission = new TaskAdmission();
-    private readonly lengths = new EventLengths();
-    private readonly demands = new JobDemands(run => this.eventsLeft(run));
-    /** Jobs for which no engine had a free slot when they were last considered. */
-    private readonly withoutSlots = new Set<JobId>();
 
     /** `newTextId` returns an id that is unique across hosts. */
     constructor(readonly newTextId: () => TextId) {}
@@ -161,8 +133,6 @@
             running: new Set(),
             scoring: new Set(),
             meanTokens: expected / Math.max(1, job.tasks.length),
-            groupCount: new Set(job.tasks.map(({ group }) => group)).size,
-            failedGroups: new Set(),
         };
         for (const task of orderTasks(job)) {
             if (log.hasResult(task.id)) {
@@ -172,7 +142,6 @@
                 task,
                 job: open,
                 progress: this.takeRetained(task.id, job.minVersion, terms.singleVersion),
-                size: promptSizeOf(task),
                 failures: 0,
                 notBefore: 0 as Instant,
                 target: undefined,
@@ -180,9 +149,6 @@
                 preferredTarget: undefined,
                 softwareWaitUntil: undefined,
                 restarts: 0,
-                stayUntil: undefined,
-                passedOverSince: undefined,
-                blockedBy: undefined,
             };
             if (!run.progress.isComplete) {
                 open.waiting.push(run);
@@ -208,13 +174,8 @@
             return [];
         }
         this.jobs.delete(id);
-        this.demands.forget(id);
         unfinished(open).forEach(run => this.retainText(run.task.id, run.progress));
-        open.running.forEach(run => this.admission.end(run));
-        const groups = new Set(open.job.tasks.map(({ group }) => group));
-        groups.forEach(group => this.groupTargets.delete(group));
-        this.admission.memory.forgetGroups(groups);
-        this.withoutSlots.delete(id);
+        open.job.tasks.forEach(task => this.groupTargets.delete(task.group));
         return [...open.running, ...open.scoring];
     }
 
@@ -266,13 +227,7 @@
         const waiting = open.waiting.filter(run => !isFinished(run));
         open.waiting.splice(0, open.waiting.length, ...waiting);
         const stopped = [...open.running, ...open.scoring].filter(isFinished);
-        for (const run of stopped) {
-            if (open.running.delete(run)) {
-                this.admission.end(run);
-            }
-            open.scoring.delete(run);
-        }
-        this.demands.forget(open.job.id);
+        stopped.forEach(run => open.running.delete(run) || open.scoring.delete(run));
         return stopped;
     }
 
@@ -286,109 +241,41 @@
 
     /**
      * The next task to start at `now`, or undefined if none can start. It counts as running from this call on. `listed`
-     * returns the software of a service's engines, with those that have no room at present. `wallNow` is the same time
-     * in the clock of the due times.
+     * returns the software of a service's engines, with those that have no room at present.
      */
     next(
         engines: readonly EngineCapacity[],
         now: Instant,
         listed: (service: ServiceId) => ReadonlySet<SoftwareVersion> = () => new Set(),
-        wallNow: Instant = now,
     ): TaskAssignment | undefined {
-        this.admission.budget.dropReservations(run => this.isWaiting(run), now);
-        const passes = new Map<JobId, AdmissionPass>();
-        for (const { demand: { open }, part } of this.demands.order([...this.jobs.values()], engines, now, wallNow)) {
-            let pass = passes.get(open.job.id);
-            if (pass === undefined) {
-                pass = this.admission.beginPass(
-                    engines.filter(engine => engine.running < engine.slots && canServe(engine, open)),
-                );
-                passes.set(open.job.id, pass);
-            }
-            if (pass.engines.length === 0) {
-                this.withoutSlots.add(open.job.id);
+        const jobs = [...this.jobs.values()].sort((a, b) => a.terms.dueAt - b.terms.dueAt);
+        for (const open of jobs) {
+            const available = engines.filter(engine => engine.running < engine.slots && canServe(engine, open));
+            if (available.length === 0) {
                 continue;
             }
-            this.withoutSlots.delete(open.job.id);
-            const choice = this.choose(open, part, pass, listed(open.terms.service), now, wallNow);
-            if (choice !== undefined) {
-                const { run } = choice;
-                const engine = chooseEngine(run, choice.engines, this.groupTargets.get(run.task.group), {
-                    eventsLeft: this.eventsLeft(run),
-                    promptTokensAt: other => this.admission.promptTokensAt(run, other),
-                });
+            const inService = listed(open.terms.service);
+            for (const run of open.waiting) {
+                if (run.notBefore > now) {
+                    continue;
+                }
+                const fit = fitSoftware(run, available, inService, now);
+                if (fit.kind === "wait") {
+                    run.softwareWaitUntil = fit.until;
+                    continue;
+                }
+                const engine = chooseEngine(run, fit.engines, this.groupTargets.get(run.task.group));
                 return { run, target: engine.target, discarded: this.start(run, engine, now) };
             }
         }
         return undefined;
     }
 
-    /** The next run of a job that an engine admits, with its engines. A long prompt goes after shorter ones. */
-    private choose(
-        open: OpenJob,
-        part: OrderedJob<JobDemand>["part"],
-        pass: AdmissionPass,
-        inService: ReadonlySet<SoftwareVersion>,
-        now: Instant,
-        wallNow: Instant,
-    ): RunChoice | undefined {
-        let yielding: RunChoice | undefined;
-        for (const run of open.waiting) {
-            const isInPart = part === "all" || this.demands.isNeeded(run) === (part === "needed");
-            if (!isInPart || run.notBefore > now || this.admission.isRefused(pass, run, now)) {
-                continue;
-            }
-            const fit = fitSoftware(run, pass.engines, inService, now);
-            if (fit.kind === "wait") {
-                run.softwareWaitUntil = fit.until;
-                this.admission.budget.cancelReservation(run);
-                continue;
-            }
-            const engines = this.admission.admit(pass, run, fit.engines, now);
-            if (engines.length === 0) {
-                continue;
-            }
-            if (!this.admission.yields(run, engines, now, wallNow)) {
-                return { run, engines };
-            }
-            yielding ??= { run, engines };
-        }
-        return yielding;
-    }
-
-    /** Events that the text of a run probably has left. */
-    eventsLeft(run: TaskRun): number {
-        return this.lengths.leftOf(run.task, run.progress.eventCount);
-    }
-
-    /** Records the first event of a run. Returns whether its engine may therefore admit further prompts. */
-    recordFirstEvent(run: TaskRun): boolean {
-        return this.admission.recordFirstEvent(run);
-    }
-
-    /** Number of tasks that may start at `now` and wait, by reason. */
-    waitingByReason(now: Instant): Readonly<Record<WaitReason, number>> {
-        const counts = { "memory": 0, "prompt-budget": 0, "slots": 0 };
-        for (const open of this.jobs.values()) {
-            const lacksSlots = this.withoutSlots.has(open.job.id);
-            for (const { notBefore, blockedBy } of open.waiting) {
-                if (notBefore <= now) {
-                    counts[lacksSlots ? "slots" : blockedBy ?? "slots"]++;
-                }
-            }
-        }
-        return counts;
-    }
-
     /** When the next delayed task may run or stop waiting, or undefined if there is none. */
     nextRetryAt(now: Instant): Instant | undefined {
         const times = this.open.flatMap(open =>
-            open.waiting.flatMap(({ notBefore, softwareWaitUntil, passedOverSince }) => [
-                notBefore,
-                softwareWaitUntil ?? now,
-                passedOverSince === undefined ? now : after(passedOverSince, ageingMs),
-            ])
-        ).concat(this.admission.budget.nextExpiryAt ?? now).filter(at => at > now);
+            open.waiting.flatMap(({ notBefore, softwareWaitUntil }) => [notBefore, softwareWaitUntil ?? now])
+        ).filter(at => at > now);
         return times.length === 0 ? undefined : Math.min(...times) as Instant;
     }
 
@@ -398,13 +285,10 @@
      */
     end(run: TaskRun, outcome: RunEnd, now: Instant): TaskResult | undefined {
         run.job.running.delete(run);
-        this.admission.end(run);
-        this.demands.forget(run.job.job.id);
         const lastTarget = run.target;
         run.target = undefined;
         if (outcome === "completed") {
             run.progress.markComplete();
-            this.lengths.record(run.task, run.progress.eventCount);
             return this.complete(run);
         }
         run.failures += outcome === "failed" ? 1 : 0;
@@ -430,10 +314,6 @@
         });
     }
 
-    private isWaiting(run: TaskRun): boolean {
-        return this.jobs.get(run.job.job.id) === run.job && run.job.waiting.includes(run);
-    }
-
     /** Returns the result of a task with a complete text, or lets it wait for its score. */
     private complete(run: TaskRun): TaskResult | undefined {
         if (run.task.reward === undefined) {
@@ -468,7 +348,6 @@
             run.restarts++;
             progress.reset(this.newTextId());
         }
-        this.admission.start(run, engine);
         const { target, incarnation, software } = engine;
         progress.beginRun({ target, incarnation, software, startedAt: now });
         return discarded;
@@ -491,10 +370,6 @@
     }
 
     private finish(run: TaskRun, state: TaskResult["state"], score: string | undefined): TaskResult {
-        if (state === "failed") {
-            run.job.failedGroups.add(run.task.group);
-        }
-        this.demands.forget(run.job.job.id);
         this.retainedTexts.delete(run.task.id);
         return resultOf(run, state, score);
     }
--- a/packages/core/src/lib/jobs/MovePlan.test.ts
+++ b/packages/core/src/lib/jobs/MovePlan.test.ts
@@ -112,34 +112,6 @@
     });
 });
 
-describe("planMoves with a stated gain", () => {
-    const speeds: Readonly<Record<string, number>> = { slow: 0.4, usual: 1 };
-    const speedOf = (target: TargetId): number => speeds[target] ?? 1;
-    const now = 2100 as Instant;
-    const plan = (run: MovableRun): readonly (number | undefined)[] =>
-        planMoves([run], [availableFixture("usual", 1)], speedOf, new Set(), limits, now).map(({ gainMs }) => gainMs);
-
-    // Guards against runs that are interrupted although they would have ended at the slow engine at about the same time.
-    it("moves a run only if it is expected to end clearly earlier, after a new connection and its prefill", () => {
-        expect(plan(runFixture("slow", { eventsLeft: 40 }))).to.deep.equal([40 * (100 - 40) - 150]);
-        expect(plan(runFixture("slow", { eventsLeft: 8 }))).to.deep.equal([]);
-    });
-
-    it("does not move a run again within its expected remaining time, unless it is silent", () => {
-        const moved = runFixture("slow", { eventsLeft: 40 });
-        moved.run.stayUntil = 2500 as Instant;
-        expect(plan(moved)).to.deep.equal([]);
-        expect(plan({ ...moved, lastEventAt: 400 as Instant })).to.deep.equal([undefined]);
-    });
-
-    it("does not take an engine that sends its events slowly for a silent one", () => {
-        const run = runFixture("slow", { eventsLeft: 8, lastEventAt: 1480 as Instant });
-        expect(plan(run)).to.deep.equal([undefined]);
-        const slower = (): number => 0.25;
-        expect(planMoves([run], [availableFixture("usual", 0.25)], slower, new Set(), limits, now)).to.deep.equal([]);
-    });
-});
-
 describe("planUpgrades", () => {
     const now = 5000 as Instant;
 
--- a/packages/core/src/lib/jobs/PaceTracker.ts
+++ b/packages/core/src/lib/jobs/PaceTracker.ts
@@ -38,21 +38,19 @@
  */
 const usualWeight = { faster: 0.3, slower: 0.02 } as const;
 
+/** Milliseconds for which the median pace of all engines is kept, since it is asked for once per engine and decision. */
+const medianTtlMs = 50;
+
 /** Limits of a relative speed, so that no engine is excluded for good or gets all the work. */
 const speedLimits = { min: 0.15, max: 1.3 } as const;
 
 /** Tracks the pace of a set of engines. */
 export class PaceTracker {
     private readonly paces = new Map<TargetId, Pace>();
-    private revision = 0;
-    /** The last median, which is asked for once for each engine. */
-    private median:
-        | { readonly now: Instant; readonly revision: number; readonly gapMs: number | undefined; }
-        | undefined;
+    private median: { readonly gapMs: number | undefined; readonly at: Instant; } | undefined;
 
     /** Records the milliseconds between two events of a run. */
     recordGap(target: TargetId, gapMs: number, now: Instant): void {
-        this.revision++;
         const known = this.paces.get(target);
         if (known === undefined) {
             const pace = { gapMs, samples: 1, seenAt: now, windowMs: 0, windowGaps: 0, usualGapMs: undefined };
@@ -89,15 +87,14 @@
         return this.paces.get(target)?.usualGapMs;
     }
 
-    /** Median of the engines' current gaps in milliseconds: the gap at speed 1. */
-    medianGapMs(now: Instant): number | undefined {
-        if (this.median?.now !== now || this.median.revision !== this.revision) {
-            this.median = { now, revision: this.revision, gapMs: this.calculateMedianGapMs(now) };
+    private medianGapMs(now: Instant): number | undefined {
+        if (this.median === undefined || now - this.median.at > medianTtlMs || now < this.median.at) {
+            this.median = { gapMs: this.computeMedianGapMs(now), at: now };
         }
         return this.median.gapMs;
     }
 
-    private calculateMedianGapMs(now: Instant): number | undefined {
+    private computeMedianGapMs(now: Instant): number | undefined {
         const gaps = [...this.paces.keys()].flatMap(target => this.currentGapMs(target, now) ?? []).sort((a, b) =>
             a - b
         );
--- a/packages/rollout/src/lib/JobRunner.test.ts
+++ b/packages/rollout/src/lib/JobRunner.test.ts
@@ -1,8 +1,7 @@
 /** Tests of how a conductor starts the runs of tasks. */
 
-import { asId, type TargetEntryView, type ZoneId } from "@tamarackpath/core";
 import { expect } from "chai";
-import { engineEntryFixture, type EngineRun, jobRunnerFixture } from "./jobRunnerFixtures.test.js";
+import { type EngineRun, jobRunnerFixture } from "./jobRunnerFixtures.test.js";
 import { createSteppingClock, type SteppingClock } from "./steppingClock.test.js";
 
 /** Advances the time until an engine has got `count` runs. */
@@ -94,22 +93,4 @@
         expect(runs.length).to.equal(1);
         runner.deactivate();
     });
-
-    // Guards against runs of a zone that resume one after the other, or at another engine of the same zone.
-    it("resumes all runs of a zone that is cut off in other zones, before each would count as silent", async () => {
-        const clock = createSteppingClock(0.01);
-        const inZone = (name: string, zone: string, slots: number): TargetEntryView =>
-            engineEntryFixture(name, slots, { zone: asId<ZoneId>(zone) });
-        const engines = [inZone("a", "z1", 2), inZone("b", "z1", 2)];
-        const { runner, runs, view } = jobRunnerFixture(clock, engines, 4);
-        runner.activate();
-        await settled();
-        view.applyTargets([...engines, inZone("c", "z2", 8)], 0);
-        runs.forEach(run => run.send(2));
-        await clock.advance(550);
-        const resumed = runs.slice(4);
-        expect(resumed.map(({ target }) => target)).to.deep.equal(["c", "c", "c", "c"]);
-        expect(resumed.every(({ afterEvent }) => afterEvent === 2)).to.equal(true);
-        runner.deactivate();
-    });
 });
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -29,9 +29,6 @@
     type TaskAssignment,
     type TaskRun,
     type TaskRunOutcome,
-    type WaitReason,
-    type ZoneId,
-    ZoneWatch,
 } from "@tamarackpath/core";
 import { EngineBackoff } from "./EngineBackoff.js";
 import { type HostView } from "./HostView.js";
@@ -78,9 +75,6 @@
 /** Milliseconds after a late check for which this process counts as late. */
 const lateTtlMs = 2000;
 
-/** Milliseconds between two events of a run, while no engine's pace is known. */
-const assumedGapMs = 40;
-
 /** Name of the runs of tasks among the requests to engines with a rate limit. */
 const tasksFlow = "tasks";
 
@@ -90,7 +84,6 @@
 /** A run at an engine. */
 interface RunningTask {
     readonly target: TargetId;
-    readonly zone: ZoneId;
     readonly stop: AbortController;
     readonly startedAt: Instant;
     lastEventAt: Instant;
@@ -108,7 +101,6 @@
     private readonly paceTracker = new PaceTracker();
     private readonly backoff = new EngineBackoff();
     private readonly slotPace = new SlotPace();
-    private readonly zoneWatch = new ZoneWatch();
     /** Smoothed sum of the expected tokens of a step, by model. */
     private readonly workByModel = new Map<string, number>();
     private cancelDispatch: (() => void) | undefined;
@@ -162,11 +154,6 @@
         return this.scheduler.open.some(open => open.waiting.length > 0);
     }
 
-    /** Number of tasks that may start and wait, by reason. */
-    waitingByReason(): Readonly<Record<WaitReason, number>> {
-        return this.scheduler.waitingByReason(this.clock.now());
-    }
-
     activate(): void {
         if (!this.isActive) {
             this.isActive = true;
@@ -235,7 +222,6 @@
 
     /** Starts waiting tasks until none can start; only the capacity of the engine that got a task is computed again. */
     private startWaiting(now: Instant): void {
-        const wallNow = Date.now() as Instant;
         let engines = this.engineCapacities();
         const softwareOf = new Map<ServiceId, ReadonlySet<SoftwareVersion>>();
         const listed = (service: ServiceId): ReadonlySet<SoftwareVersion> => {
@@ -244,7 +230,7 @@
             return known;
         };
         for (;;) {
-            const next = this.scheduler.next(engines, now, listed, wallNow);
+            const next = this.scheduler.next(engines, now, listed);
             if (next === undefined) {
                 return;
             }
@@ -293,10 +279,7 @@
     /** The capacity of an engine; undefined if no task may start there. */
     private capacityOf(entry: TargetEntryView, now: Instant): EngineCapacity | undefined {
         const spec = this.view.routes?.service(entry.service);
-        if (
-            spec?.engine === undefined || entry.leaving || this.backoff.isBackingOff(entry, now)
-            || this.zoneWatch.isCutOff(entry.zone, now)
-        ) {
+        if (spec?.engine === undefined || entry.leaving || this.backoff.isBackingOff(entry, now)) {
             return undefined;
         }
         const running = this.runningAt(entry.target);
@@ -310,7 +293,6 @@
             usualGapMs: this.paceTracker.usualGapMs(entry.target),
             incarnation: entry.incarnation,
             software: this.view.software.of(entry),
-            memoryTokens: spec.engine.memoryTokens,
             isBeingReplaced: this.view.releases.isBeingReplaced(entry.service, entry.software, now),
         };
     }
@@ -339,7 +321,6 @@
         const startedAt = this.clock.now();
         const running: RunningTask = {
             target,
-            zone: entry.zone,
             stop,
             startedAt,
             lastEventAt: startedAt,
@@ -396,7 +377,7 @@
                     });
                     return false;
                 }
-                this.recordEvent(run, running);
+                this.recordEvent(running);
                 if (!run.progress.versions.includes(version)) {
                     this.versions.recordServedVersion(entry, job.model, version);
                 }
@@ -444,19 +425,14 @@
         this.settle(run, entry, end, isTooOld);
     }
 
-    private recordEvent(run: TaskRun, running: RunningTask): void {
+    private recordEvent(running: RunningTask): void {
         const now = this.clock.now();
         // The gap of a pause for a change of weights says nothing about the engine's pace.
         if (running.hasEvents && !this.versions.isChanging(running.target, now)) {
             this.paceTracker.recordGap(running.target, now - running.lastEventAt, now);
         }
-        this.zoneWatch.recordEvent(running.zone);
-        const isFirst = !running.hasEvents;
         running.hasEvents = true;
         running.lastEventAt = now;
-        if (isFirst && this.scheduler.recordFirstEvent(run) && this.hasWaiting) {
-            this.dispatch();
-        }
     }
 
     /** Stops runs that send no events, or that are much slower than engines with free slots, to resume them there. */
@@ -475,12 +451,9 @@
         if (this.wasHeld) {
             this.dispatch();
         }
-        this.leaveCutOffZones(now);
         const engines = this.engineCapacities();
         const allRuns = [...this.runs].flatMap(([run, running]) =>
-            running.moved === undefined && !running.stop.signal.aborted
-                ? [{ run, ...running, eventsLeft: this.scheduler.eventsLeft(run) }]
-                : []
+            running.moved === undefined && !running.stop.signal.aborted ? [{ run, ...running }] : []
         );
         const takenSlots = this.moveFromLeaving(allRuns, engines);
         const available = engines.map(engine => ({
@@ -493,14 +466,13 @@
         );
         const { silentMs, silentAtStartMs } = this.settings;
         const speedOf = (target: TargetId): number => this.paceTracker.speedOf(target, now);
-        const usualGapMs = this.paceTracker.medianGapMs(now);
         for (
-            const { run, target, reason, gainMs, remainingMs } of planMoves(
+            const { run, target, reason } of planMoves(
                 runs,
                 available,
                 speedOf,
                 changing,
-                { silentMs, silentAtStartMs, usualGapMs },
+                { silentMs, silentAtStartMs },
                 now,
             )
         ) {
@@ -511,7 +483,8 @@
                 this.view.software.recordConnectionLost(entry, now);
                 this.journal.log("target-resting", { target, reason: "A run sent no events.", ms });
             }
-            this.move(run, running, reason, { gainMs, remainingMs });
+            running.moved = reason;
+            running.stop.abort();
         }
         this.upgradeRuns(runs.filter(({ run }) => this.runs.get(run)?.moved === undefined), engines, changing, now);
     }
@@ -540,33 +513,6 @@
         return taken;
     }
 
-    /** Moves the silent runs of zones that are cut off, all at once, to engines of other zones. */
-    private leaveCutOffZones(now: Instant): void {
-        const runs = [...this.runs].filter(([, running]) =>
-            running.moved === undefined && !running.stop.signal.aborted
-            && !this.versions.isChanging(running.target, now)
-        ).map(([run, { target, zone, lastEventAt, hasEvents }]) => ({
-            run,
-            target,
-            zone,
-            lastEventAt,
-            hasEvents,
-            gapMs: (this.paceTracker.medianGapMs(now) ?? assumedGapMs) / this.paceTracker.speedOf(target, now),
-        }));
-        const engines = this.engineCapacities().map(({ target, slots, running, software }) => ({
-            target,
-            zone: this.view.directory.get(target)!.zone,
-            freeSlots: slots - running,
-            software,
-        }));
-        for (const { zone, runs: silent } of this.zoneWatch.check(runs, engines, now)) {
-            this.journal.log("zone-cut-off", { zone, runs: silent.length });
-            for (const { run } of silent) {
-                this.move(run, this.runs.get(run)!, "zone-cut-off", { gainMs: undefined, remainingMs: 0 });
-            }
-        }
-    }
-
     /** Moves the longest runs to engines that are faster for good, if no task waits for the slots there. */
     private upgradeRuns(
         runs: readonly MovableRun[],
@@ -588,34 +534,15 @@
                     usualGapMs,
                 }));
             const own = runs.filter(({ run }) => run.job === open);
-            for (const { run, to, gainMs, remainingMs } of planUpgrades(own, paced, changing, now)) {
+            for (const { run, to } of planUpgrades(own, paced, changing, now)) {
+                const running = this.runs.get(run)!;
                 run.preferredTarget = to;
-                this.move(run, this.runs.get(run)!, "upgraded", { gainMs, remainingMs });
+                running.moved = "upgraded";
+                running.stop.abort();
             }
         }
     }
 
-    /** Stops a run to resume it elsewhere, where it stays for the time that it is expected to take. */
-    private move(
-        run: TaskRun,
-        running: RunningTask,
-        reason: RunMoveReason | "zone-cut-off",
-        { gainMs, remainingMs }: { readonly gainMs: number | undefined; readonly remainingMs: number; },
-    ): void {
-        run.stayUntil = after(this.clock.now(), remainingMs);
-        this.journal.log("run-moved", {
-            job: run.job.job.id,
-            task: run.task.id,
-            target: running.target,
-            reason,
-            events: run.progress.eventCount,
-            gainMs,
-            remainingMs,
-        });
-        running.moved = reason === "zone-cut-off" ? "silent" : reason;
-        running.stop.abort();
-    }
-
     private recordWork({ model, tasks }: Job): void {
         const work = tasks.reduce((sum, { expectedTokens, tokens }) => sum + (expectedTokens ?? tokens), 0);
         const known = this.workByModel.get(model) ?? work;
@@ -630,9 +557,6 @@
         if (end.kind === "completed") {
             this.backoff.recordSuccess(entry.target);
         }
-        if (end.kind === "unreachable") {
-            this.zoneWatch.recordUnreachable(entry.zone, entry.target, now);
-        }
         if (end.kind === "unreachable" || end.kind === "fault" && !isTooOld) {
             const ms = this.backoff.recordFault(entry, now);
             this.view.software.recordConnectionLost(entry, now);
@@ -666,10 +590,6 @@
         }
         this.cancelExpiry = this.clock.callAt(after(this.clock.now(), expiryIntervalMs), () => this.expire());
         this.registry.dropEndedFromMemory();
-        const { memory, slots, "prompt-budget": promptBudget } = this.waitingByReason();
-        if (memory + promptBudget > 0) {
-            this.journal.log("tasks-waiting", { memory, promptBudget, slots });
-        }
         // Submission times are wall-clock times of other hosts, so they are compared with this host's wall clock.
         const wallNow = Date.now() as ReturnType<Clock["now"]>;
         this.scheduler.expire(wallNow).forEach(({ open, result }) => this.registry.addResult(open, result));
@@ -688,7 +608,6 @@
         const times = [
             this.scheduler.nextRetryAt(now),
             this.backoff.nextRetryAt(now),
-            this.zoneWatch.nextRetryAt(now),
             this.versions.nextReadyAt(now),
             ...this.permits.nextTimes(this.view.directory.targets, tasksFlow, now),
         ].filter(at => at !== undefined);
