Say in the field's words how long engines take to start

Cause: comments and names of the planner used a word that the glossary replaces, and some comments could be misread. Change: names, comments and two test titles; no decision, no message and no record changes.

--- a/packages/core/src/lib/capacity/CapacityInput.ts
+++ b/packages/core/src/lib/capacity/CapacityInput.ts
@@ -56,7 +56,7 @@
     );
 }
 
-/** Engines that serve or boot. */
+/** Engines that serve or start. */
 export function expectedOptions(input: CapacityInput): readonly CapacityOption[] {
     return input.groups.map(group => optionOf(group, expectedCount(group, input.scaling, input.now), input));
 }
--- a/packages/core/src/lib/capacity/CapacityPlanner.test.ts
+++ b/packages/core/src/lib/capacity/CapacityPlanner.test.ts
@@ -46,7 +46,7 @@
         expect(survivors * slotsPerEngine).to.be.above(125);
     });
 
-    // Guards against late steps when engines leave faster than others boot, and against waiting for a zone without any.
+    // Guards against late steps when engines leave faster than others start, and against waiting for a zone without any.
     it("carries the loss of a zone's reclaimable engines while no zone has any, and replaces them afterwards", () => {
         let reclaimedAt = Infinity;
         const simulation = new CapacitySimulation({
@@ -119,7 +119,7 @@
         expect(Math.max(0, ...changesByGroup(simulation.accepted(150_000)))).to.be.at.most(1);
     });
 
-    it("recovers from a wrong forecast: three of four trainers end, and later come back", () => {
+    it("recovers from a wrong forecast: three of four trainers end, and later submit again", () => {
         const simulation = new CapacitySimulation({
             standing: 5,
             tasksAt: (trainer, at) => trainer === 0 || at < 60_000 || at >= 120_000 ? 125 : 0,
--- a/packages/core/src/lib/capacity/EngineGroup.ts
+++ b/packages/core/src/lib/capacity/EngineGroup.ts
@@ -1,6 +1,6 @@
 /**
  * The engines of one service in one zone and of one kind, as the planner counts them. The list of engines lags behind an
- * order by the time that an engine takes to boot, so ordered engines count until they had time to appear; engines that
+ * order by the time that an engine takes to start, so ordered engines count until they had time to appear; engines that
  * the platform has announced to take away do not count at all.
  */
 
@@ -35,12 +35,12 @@
     readonly blockedUntil: Instant | undefined;
 }
 
-/** Milliseconds beyond the boot time until an ordered engine is listed here: two reads of the list. */
+/** Milliseconds beyond the startup time until an ordered engine is listed here: two reads of the list. */
 const listDelayMs = 2000;
 
 /** Milliseconds from an order until the list of engines shows its effect; what is missing then does not come. */
-export function showMs({ bootMs }: Scaling): number {
-    return bootMs + listDelayMs;
+export function showMs({ startupMs }: Scaling): number {
+    return startupMs + listDelayMs;
 }
 
 /** The engines that serve, without those that a sent order takes away. */
@@ -49,12 +49,14 @@
     return isShowing && lastOrder.count < lastOrder.previous ? Math.min(ready, lastOrder.count) : ready;
 }
 
-/** The engines that serve or boot. Those that boot in a zone where engines leave are not counted. */
+/** The engines that serve or start. Those that start in a zone where engines leave are not counted. */
 export function expectedCount(group: EngineGroup, scaling: Scaling, now: Instant): number {
     const { ready, leaving, lastOrder } = group;
     const isShowing = lastOrder !== undefined && now < after(lastOrder.at, showMs(scaling));
-    const booting = isShowing && leaving === 0 ? Math.max(0, lastOrder.count - Math.max(lastOrder.previous, ready)) : 0;
-    return servingCount(group, scaling, now) + booting;
+    const starting = isShowing && leaving === 0
+        ? Math.max(0, lastOrder.count - Math.max(lastOrder.previous, ready))
+        : 0;
+    return servingCount(group, scaling, now) + starting;
 }
 
 /** Whether more may be ordered: the list shows the previous order, or would by now, and no engines leave. */
--- a/packages/core/src/lib/capacity/Scaling.ts
+++ b/packages/core/src/lib/capacity/Scaling.ts
@@ -11,7 +11,7 @@
     readonly minPerZone: number;
     readonly maxPerZone: number;
     /** Milliseconds from an order until the new target serves. */
-    readonly bootMs: number;
+    readonly startupMs: number;
     /** Price of a reclaimable target as a share of the price of a standing one; undefined if there are none. */
     readonly reclaimablePrice: number | undefined;
     /** Price of a second of a standing target, by zone; the service's targets run in these zones. */
--- a/packages/core/src/lib/capacity/ZoneLoss.ts
+++ b/packages/core/src/lib/capacity/ZoneLoss.ts
@@ -1,6 +1,6 @@
 /**
  * Safety against the loss of a zone's reclaimable engines. The load: a third of the engines leaves at once 2 to 3 s after
- * a notice, less than a new engine takes to boot, and for some seconds no zone has others to give. So the engines that
+ * a notice, less than a new engine takes to start, and for some seconds no zone has others to give. So the engines that
  * remain after the worst such loss must carry the demand by themselves.
  */
 
--- a/packages/core/src/lib/capacity/capacityFixtures.test.ts
+++ b/packages/core/src/lib/capacity/capacityFixtures.test.ts
@@ -30,7 +30,7 @@
     return {
         minPerZone: 1,
         maxPerZone: 14,
-        bootMs: 4000,
+        startupMs: 4000,
         reclaimablePrice: 0.18,
         zonePrices: [1, 0.8, 1.25, 0.9].map((price, nth) => ({ zone: zoneOf(nth), price })),
         ...changes,
@@ -176,7 +176,7 @@
         const own = this.engines.filter(each => each.zone === zone && each.kind === kind && each.leavesAt === Infinity);
         const isRefused = to > own.length && this.options.isUnavailable?.(zone, kind, this.now) === true;
         if (!isRefused) {
-            this.start(zone, kind, to - own.length, this.now + this.scaling.bootMs);
+            this.start(zone, kind, to - own.length, this.now + this.scaling.startupMs);
             own.slice(0, Math.max(0, own.length - to)).forEach(each => {
                 each.leavesAt = this.now + 2400;
             });
--- a/packages/core/src/lib/capacity/taskReplay.test.ts
+++ b/packages/core/src/lib/capacity/taskReplay.test.ts
@@ -50,7 +50,10 @@
 
     const random = seededRandom(1);
     const troubles: readonly { readonly name: string; readonly options: Partial<TaskReplayOptions>; }[] = [
-        { name: "engines that boot up to 5 s late", options: { bootDelayMs: () => Math.floor(random() * 6) * 1000 } },
+        {
+            name: "engines that start up to 5 s late",
+            options: { startupDelayMs: () => Math.floor(random() * 6) * 1000 },
+        },
         { name: "a list that is 2.9 s old", options: { listIntervalMs: at => at % 20_000 > 12_000 ? 2900 : 900 } },
         {
             name: "calls without an answer",
--- a/packages/core/src/lib/capacity/taskReplayFixtures.test.ts
+++ b/packages/core/src/lib/capacity/taskReplayFixtures.test.ts
@@ -65,8 +65,8 @@
     readonly reclaims: readonly { readonly at: number; readonly zone: ZoneId; }[];
     /** Whether the platform refuses orders of more engines at a time. */
     readonly isRefusing: (at: number) => boolean;
-    /** Milliseconds that engines take to boot beyond the boot time of the settings, if they are ordered at a time. */
-    readonly bootDelayMs?: (at: number) => number;
+    /** Milliseconds that engines take to start beyond the startup time of the settings, if they are ordered at a time. */
+    readonly startupDelayMs?: (at: number) => number;
     /** Milliseconds between reads of the list of engines at a time. */
     readonly listIntervalMs?: (at: number) => number;
     /** Whether the answer to a call is lost; the call takes effect if `isReceived`. */
@@ -87,7 +87,7 @@
     /** Slots in use and slots of the engines that stay, after each order that reduces a number. */
     readonly reductions: { readonly used: number; readonly kept: number; }[] = [];
     cost = 0;
-    /** Highest number of engines that a zone had and that did not leave, booting ones included. */
+    /** Highest number of engines that a zone had and that did not leave, starting ones included. */
     mostInZone = 0;
     private now = 0;
     private serial = 0;
@@ -218,8 +218,8 @@
         if (to > own.length && this.options.isRefusing(this.now)) {
             return "none-available";
         }
-        const bootMs = this.options.scaling.bootMs + (this.options.bootDelayMs?.(this.now) ?? 0);
-        this.start(zone, kind, to - own.length, this.now + bootMs);
+        const startupMs = this.options.scaling.startupMs + (this.options.startupDelayMs?.(this.now) ?? 0);
+        this.start(zone, kind, to - own.length, this.now + startupMs);
         own.slice(0, Math.max(0, own.length - to)).forEach(each => {
             each.leavesAt = this.now + noticeMs;
         });
--- a/packages/core/src/lib/config/configProof.ts
+++ b/packages/core/src/lib/config/configProof.ts
@@ -51,7 +51,7 @@
 
 /**
  * The revision of the configuration that an answer of the conductor is about. `offered` is what the pull named; an answer without
- * content is about that, if it comes from the same process. Undefined if it cannot be told.
+ * content is about that, if it comes from the same process. Undefined if it is not known.
  */
 export function configOfAnswer(
     { fence, content }: Pick<ConductorView, "fence" | "content">,
--- a/packages/core/src/lib/duties/UsageLedger.ts
+++ b/packages/core/src/lib/duties/UsageLedger.ts
@@ -70,7 +70,7 @@
         return Object.fromEntries(sums);
     }
 
-    /** Whether no process that was heard during a window has yet to report since its end. */
+    /** Whether every process that reported during a window has reported again since its end. */
     isComplete(window: number): boolean {
         return [...this.presentWindows.values()].every(present => present !== window);
     }
@@ -96,7 +96,7 @@
         [...this.fixedTotals.keys()].filter(each => each < oldest).forEach(each => this.fixedTotals.delete(each));
     }
 
-    /** Drops the windows up to `window`, and the processes that were last heard then. */
+    /** Drops the windows up to `window`, and the processes whose last report came then. */
     private forgetBefore(window: number): void {
         [...this.windows.keys()].filter(each => each <= window).forEach(each => this.windows.delete(each));
         [...this.presentWindows].filter(([, present]) => present <= window)
--- a/packages/core/src/lib/duties/UsageRecord.test.ts
+++ b/packages/core/src/lib/duties/UsageRecord.test.ts
@@ -69,7 +69,7 @@
             .to.deep.equal([60, 140, 299]);
     });
 
-    // Guards against a new holder that is paused soon after its claim, and fixes a window before it has heard of any host.
+    // Guards against a new holder that is paused soon after its claim, and fixes a window before any host has reported to it.
     it("gets no window before its holder has listened, also after a pause of the holder's process", () => {
         const due = 101 * windowMs + 4000;
         for (
--- a/packages/core/src/lib/ports/RolloutTargets.ts
+++ b/packages/core/src/lib/ports/RolloutTargets.ts
@@ -19,7 +19,7 @@
     readonly task: Task;
     /** Virtual host of the job's route. */
     readonly host: string;
-    /** The organisation that submitted the job, which the engine is told. */
+    /** The organisation that submitted the job; it is sent to the engine. */
     readonly organisation?: OrganisationId | undefined;
     /** Whether the configuration has organisations, so that the task's own headers must not name one. */
     readonly hasOrganisations?: boolean;
@@ -89,7 +89,7 @@
     /** Alternating names and values, without hop-by-hop headers. */
     readonly headers: readonly string[];
     readonly body: Uint8Array;
-    /** The caller's organisation, which the target is told; undefined if the request needs no credential. */
+    /** The caller's organisation, which is sent to the target; undefined if the request needs no credential. */
     readonly organisation?: OrganisationId | undefined;
     /** Set if the caller takes up a stream that broke off. */
     readonly takeUp?: StreamTakeUp | undefined;
--- a/packages/rollout/src/lib/CapacityTask.test.ts
+++ b/packages/rollout/src/lib/CapacityTask.test.ts
@@ -150,7 +150,7 @@
         expect(new Set(holder.holders)).to.deep.equal(new Set(["h1 1"]));
         const sent = holder.sent.length;
         await clock.advance(2000);
-        expect(holder.sent.length, "orders while engines boot").to.equal(sent);
+        expect(holder.sent.length, "orders while engines start").to.equal(sent);
         holder.task.deactivate();
     });
 
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -445,7 +445,7 @@
         // The next check is scheduled first, so that an unexpected error in this one does not end them.
         this.cancelMoves = this.clock.callAt(nextAt, () => this.moveRuns(nextAt));
         if (this.recordCheckDelay(dueAt, now)) {
-            // Events that arrived meanwhile have not been read, so no run can be told to be silent or slow.
+            // Events that arrived meanwhile have not been read, so no run counts as silent or slow.
             return;
         }
         if (this.wasHeld) {
--- a/packages/rollout/src/lib/RequestPermits.ts
+++ b/packages/rollout/src/lib/RequestPermits.ts
@@ -173,8 +173,8 @@
         return this.hostCount;
     }
 
-    /** The number that a conductor told; undefined before the first one did. */
-    get toldHosts(): number | undefined {
+    /** The number that a conductor stated; undefined before the first one did. */
+    get statedHosts(): number | undefined {
         return this.isHostCountKnown ? this.hostCount : undefined;
     }
 
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -544,7 +544,7 @@
             return undefined;
         }
         const { usageWindowMs: windowMs, maxCallsPerSecond } = duties;
-        const hostsBefore = (): number | undefined => this.permits.toldHosts;
+        const hostsBefore = (): number | undefined => this.permits.statedHosts;
         const options = { self, name, windowMs, maxCallsPerSecond, timeOfDay, hostsBefore };
         return new UsageTask(options, this.conductor, store, platform, peers, clock, journal);
     }
--- a/packages/rollout/src/lib/UsageTask.test.ts
+++ b/packages/rollout/src/lib/UsageTask.test.ts
@@ -66,8 +66,8 @@
     openCalls = 0;
     mostOpenCalls = 0;
     conductor: UsageHost | undefined;
-    /** Number of hosts as the conductor told it with the last answer. */
-    toldHosts: number | undefined;
+    /** Number of hosts that the last answer of the conductor stated. */
+    statedHosts: number | undefined;
     /** How the platform answers, and after how many milliseconds. */
     platform: (window: number) => { readonly end: DutyCallEnd; readonly ms: number; } = () => ({
         end: "accepted",
@@ -112,7 +112,7 @@
             windowMs,
             maxCallsPerSecond: 50,
             timeOfDay: () => startedAt + this.clock.now(),
-            hostsBefore: () => this.toldHosts,
+            hostsBefore: () => this.statedHosts,
         };
         const task = new UsageTask(options, conductor, this.store, duties, peers, this.clock, journal);
         const host = {
@@ -163,7 +163,7 @@
                 }
                 if (now >= Math.max(host.nextPullAt, host.cutOffUntil) && this.conductor !== undefined) {
                     host.nextPullAt = now + pullMs;
-                    this.toldHosts = this.hosts.length;
+                    this.statedHosts = this.hosts.length;
                     this.conductor.task.adoptCounts(host.name, host.task.report());
                     host.task.adoptFixed(this.conductor.task.fixedTo);
                 }
--- a/packages/rollout/src/lib/capacityFleet.test.ts
+++ b/packages/rollout/src/lib/capacityFleet.test.ts
@@ -10,7 +10,7 @@
 const scaling: Scaling = {
     minPerZone: 1,
     maxPerZone: 9,
-    bootMs: 4000,
+    startupMs: 4000,
     reclaimablePrice: 0.2,
     zonePrices: [{ zone: asId<ZoneId>("z"), price: 1 }, { zone: asId<ZoneId>("y"), price: 0.9 }],
 };
--- a/packages/rollout/src/lib/jobRunnerFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRunnerFixtures.test.ts
@@ -129,7 +129,7 @@
 export const scalingFixture: Scaling = {
     minPerZone: 1,
     maxPerZone: 9,
-    bootMs: 4000,
+    startupMs: 4000,
     reclaimablePrice: 0.2,
     zonePrices: [{ zone: asId<ZoneId>("z"), price: 1 }],
 };
--- a/packages/rollout/src/lib/organisations.test.ts
+++ b/packages/rollout/src/lib/organisations.test.ts
@@ -108,7 +108,7 @@
         const conductor = fleet.conductor()!;
         const cutNumber = fleet.hosts.findIndex(host => host !== conductor);
         const cutHost = fleet.hosts[cutNumber]!;
-        /** Records proofs as hosts do that read the store or hear of a read, at those that are not cut off. */
+        /** Records proofs as hosts do that read the store or receive the time of a read, at those that are not cut off. */
         const proveFor = async (ms: number): Promise<void> => {
             for (const until = after(clock.now(), ms); clock.now() < until; await fleet.pause(50)) {
                 for (const host of fleet.hosts) {
