Count engines that restart once, in the numbers of orders as the platform does

Cause: the planner took an engine that restarts for one that starts until the last order's time was over, and for none after that, while the platform counts it always. The engines that serve after an order of fewer were taken as one too many.

Change: expectedCount and the numbers of orders are the platform's: engines that serve, start and restart. roomsOf takes them once. servingCount, by which engines are given back, has only listed ones, less those that an order takes away in the worst case. A second order of fewer is not taken for a reclaim while the engines of the first one leave.

The property of the limits of a zone added the missing engines of a group to the number before an order, which includes them now. It requires that this number is the listed and missing engines, and counts missing ones not as a zone's least engines: stricter.

--- a/packages/core/src/lib/capacity/CapacityInput.ts
+++ b/packages/core/src/lib/capacity/CapacityInput.ts
@@ -2,7 +2,15 @@
 
 import { type Instant, type ZoneId } from "../ids.js";
 import { type CapacityOption } from "./CapacityMix.js";
-import { canIncrease, type EngineGroup, expectedCount, isReduced, priceOf, servingCount } from "./EngineGroup.js";
+import {
+    canIncrease,
+    type EngineGroup,
+    expectedCount,
+    isReduced,
+    priceOf,
+    servingCount,
+    stayingCount,
+} from "./EngineGroup.js";
 import { type CapacityKind, type Scaling } from "./Scaling.js";
 import { type CapacityCount, totalOf } from "./ZoneLoss.js";
 
@@ -34,7 +42,7 @@
 /** Why a number changes. */
 export type CapacityReason = "demand" | "leaving" | "zone-loss" | "minimum" | "cheaper" | "idle";
 
-/** An order, with the number that it replaces. */
+/** An order, with the number that it replaces. Both count engines as the platform does: those that start and restart are among them. */
 export interface PlannedOrder {
     readonly zone: ZoneId;
     readonly kind: CapacityKind;
@@ -56,7 +64,7 @@
     );
 }
 
-/** Engines that serve or start. */
+/** Engines that serve, start or restart. */
 export function expectedOptions(input: CapacityInput): readonly CapacityOption[] {
     return input.groups.map(group => optionOf(group, expectedCount(group, input.scaling, input.now), input));
 }
@@ -95,7 +103,7 @@
     return ({ zone }) =>
         scaling.maxPerZone - inZone(options, zone).reduce((sum, { kind, count }) => {
             const group = groups.find(each => each.zone === zone && each.kind === kind);
-            return sum + Math.max(count, group?.ready ?? 0) + (group?.leaving ?? 0) + (group?.missing ?? 0);
+            return sum + Math.max(count, group === undefined ? 0 : stayingCount(group)) + (group?.leaving ?? 0);
         }, 0);
 }
 
--- a/packages/core/src/lib/capacity/EngineGroup.ts
+++ b/packages/core/src/lib/capacity/EngineGroup.ts
@@ -9,8 +9,9 @@
 
 /** The last order of a zone and kind that the platform has not refused. */
 export interface LastOrder {
+    /** As the platform counts: engines that start and restart are among them. */
     readonly count: number;
-    /** The number that served when it was sent. */
+    /** The number that it replaced, counted in the same way. */
     readonly previous: number;
     readonly at: Instant;
     /** Whether the platform has not answered it yet; it is repeated until then. */
@@ -43,20 +44,23 @@
     return startupMs + listDelayMs;
 }
 
-/** The engines that serve, without those that a sent order takes away. */
-export function servingCount({ ready, lastOrder }: EngineGroup, scaling: Scaling, now: Instant): number {
-    const isShowing = lastOrder !== undefined && now < after(lastOrder.at, showMs(scaling));
-    return isShowing && lastOrder.count < lastOrder.previous ? Math.min(ready, lastOrder.count) : ready;
+/** The engines that serve, without those that a sent order takes away; engines that restart are not among those it leaves. */
+export function servingCount(group: EngineGroup, scaling: Scaling, now: Instant): number {
+    const { ready, missing } = group;
+    return Math.max(0, Math.min(ready, limitOf(group, scaling, now) - missing));
 }
 
-/** The engines that serve or start. Those that start in a zone where engines leave are not counted. */
+/**
+ * The engines that serve, start or restart, which is the number that the platform counts and that an order replaces. Those that
+ * start or restart in a zone where the platform takes engines away are not counted.
+ */
 export function expectedCount(group: EngineGroup, scaling: Scaling, now: Instant): number {
     const { ready, leaving, lastOrder } = group;
-    const isShowing = lastOrder !== undefined && now < after(lastOrder.at, showMs(scaling));
-    const starting = isShowing && leaving === 0
-        ? Math.max(0, lastOrder.count - Math.max(lastOrder.previous, ready))
+    const staying = leaving > 0 && !isReduced(group) ? ready : stayingCount(group);
+    const starting = leaving === 0 && isShowing(group, scaling, now)
+        ? Math.max(0, lastOrder!.count - Math.max(lastOrder!.previous, staying))
         : 0;
-    return servingCount(group, scaling, now) + starting;
+    return Math.min(staying, limitOf(group, scaling, now)) + starting;
 }
 
 /** Whether more may be ordered: the list shows the previous order, or would by now, and no engines leave. */
@@ -69,10 +73,10 @@
     return isShown(group, scaling, now) && (group.leaving === 0 || isReduced(group));
 }
 
-/** Whether the engines that leave are those that the last order took away. */
+/** Whether the engines that leave are those that orders take away. A second one may have been sent while they leave. */
 export function isReduced(group: EngineGroup): boolean {
     const { lastOrder } = group;
-    return lastOrder !== undefined && lastOrder.count < lastOrder.previous && lastOrder.count === stayingCount(group);
+    return lastOrder !== undefined && lastOrder.count < lastOrder.previous && lastOrder.count <= stayingCount(group);
 }
 
 /** The engines that stay as the platform counts them: those that restart are among them. */
@@ -86,6 +90,17 @@
     return lastOrder !== undefined && lastOrder.count < lastOrder.previous && !isShown(group, scaling, now);
 }
 
+/** The number that an order of fewer leaves until the list shows it; Infinity without one. */
+function limitOf(group: EngineGroup, scaling: Scaling, now: Instant): number {
+    const { lastOrder } = group;
+    return isShowing(group, scaling, now) && lastOrder!.count < lastOrder!.previous ? lastOrder!.count : Infinity;
+}
+
+/** Whether the effect of the last order may not be in the list yet. */
+function isShowing({ lastOrder }: EngineGroup, scaling: Scaling, now: Instant): boolean {
+    return lastOrder !== undefined && now < after(lastOrder.at, showMs(scaling));
+}
+
 function isShown(group: EngineGroup, scaling: Scaling, now: Instant): boolean {
     const { lastOrder } = group;
     return lastOrder === undefined
--- a/packages/core/src/lib/capacity/giveBacks.ts
+++ b/packages/core/src/lib/capacity/giveBacks.ts
@@ -17,7 +17,7 @@
 } from "./CapacityInput.js";
 import { capacityLimits } from "./capacityLimits.js";
 import { type CapacityOption } from "./CapacityMix.js";
-import { canDecrease, isDecreasing } from "./EngineGroup.js";
+import { canDecrease, isDecreasing, stayingCount } from "./EngineGroup.js";
 import { survivorsOf, totalOf } from "./ZoneLoss.js";
 
 /** The orders that reduce a number, at most one for each zone; engines dearer than those in `ideal` are replaced by them. */
@@ -44,7 +44,7 @@
         const reason = reasonFor(input, demand, { option, serving, ideal, replacement });
         if (reason !== undefined && isFree && isEnough(input, demand, less, option)) {
             // The platform counts engines that restart; without them, the order would take away more than one.
-            const from = option.count + (own.find(group => group.kind === kind)?.missing ?? 0);
+            const from = stayingCount(own.find(group => group.kind === kind)!);
             orders.push({ zone, kind, from, to: from - 1, reason });
             serving = less;
         }
