Send no order of weights from the time on at which another host may conduct

Cause: an order had 0.7 s from when it was sent, not from the check of the lease, so a process that was paused in between gave it the whole time anew. An order that waited for a connection was written when that opened, which in a paused process happens before its timers run. Calls of duties had both limits already.

--- a/packages/core/src/lib/ports/RolloutTargets.ts
+++ b/packages/core/src/lib/ports/RolloutTargets.ts
@@ -65,13 +65,17 @@
         onEvent: (event: StreamEvent, version: WeightVersion) => boolean,
         signal: AbortSignal,
     ): Promise<TaskRunOutcome>;
-    /** Orders an engine to load a version; `holder` and `fence` identify the conductor and its term. */
+    /**
+     * Orders an engine to load a version; `holder` and `fence` identify the conductor and its term. Nothing is sent from `deadline`
+     * on, as another host may conduct then, and an order in flight is given up.
+     */
     order(
         engine: TargetEntryView,
         order: VersionOrder,
         holder: string,
         fence: number,
         permit: RequestPermit,
+        deadline: Instant,
     ): Promise<VersionOrderEnd>;
     report(engine: TargetEntryView, permit: RequestPermit): Promise<Either<string, EngineSelfReport>>;
     /** Closes the connections to targets that are not in `listed`. */
--- a/packages/rollout/src/lib/VersionTask.ts
+++ b/packages/rollout/src/lib/VersionTask.ts
@@ -50,11 +50,11 @@
     private cancelPlanning: (() => void) | undefined;
 
     constructor(
-        private readonly settings: RolloutSettings,
+        private readonly settings: Pick<RolloutSettings, "changingShare" | "changeMs">,
         private readonly self: string,
-        private readonly view: HostView,
-        private readonly conductor: ConductorTask,
-        private readonly permits: RequestPermits,
+        private readonly view: Pick<HostView, "directory" | "versions" | "ageMs">,
+        private readonly conductor: Pick<ConductorTask, "term">,
+        private readonly permits: Pick<RequestPermits, "available" | "take">,
         private readonly engines: RolloutEngines,
         private readonly clock: Clock,
         private readonly journal: Journal,
@@ -112,13 +112,16 @@
             const plan = this.planOf(service);
             this.view.versions.forEach((version, model) => plan.name(model, version));
             if (this.conductor.term.canOrder(now)) {
-                plan.decide(states, now, model => work.workOf(model)).forEach(order => void this.order(plan, order));
+                plan.decide(states, now, model => work.workOf(model)).forEach(order =>
+                    void this.order(plan, order, now)
+                );
                 plan.enginesNeedingReport(states, now).forEach(target => void this.readReport(plan, target));
             }
         }
     }
 
-    private async order(plan: VersionPlan, order: VersionOrder): Promise<void> {
+    /** Sends an order that the term allowed at `checkedAt`. */
+    private async order(plan: VersionPlan, order: VersionOrder, checkedAt: Instant): Promise<void> {
         const entry = this.view.directory.get(order.target);
         const claim = this.conductor.term.currentClaim;
         if (entry === undefined || claim === undefined) {
@@ -133,6 +136,7 @@
             this.self,
             claim.fence,
             this.permits.take(entry, ordersFlow),
+            this.conductor.term.orderDeadline(checkedAt),
         );
         plan.recordEnd(order, end, this.clock.now());
         this.journal.log("version-ordered", {
