--- a/packages/core/src/lib/capacity/capacityFixtures.test.ts
+++ b/packages/core/src/lib/capacity/capacityFixtures.test.ts
@@ -37,6 +37,30 @@
     };
 }
 
+/** An engine of a simulated platform, as far as its entry shows it. */
+export interface ListedEngine {
+    readonly id: number;
+    readonly zone: ZoneId;
+    readonly kind: CapacityKind;
+    /** When it leaves; infinite while it stays. */
+    readonly leavesAt: number;
+}
+
+/** The entry of an engine in the list of targets. */
+export function engineEntryFixture({ id, zone, kind, leavesAt }: ListedEngine): TargetEntryView {
+    return {
+        target: asId<TargetId>(`e${id}`),
+        service,
+        address: "",
+        zone,
+        slots: slotsPerEngine,
+        leaving: leavesAt < Infinity,
+        incarnation: 1 as Incarnation,
+        models: [],
+        isReclaimable: kind === "reclaimable",
+    };
+}
+
 interface SimulatedEngine {
     readonly id: number;
     readonly zone: ZoneId;
@@ -192,17 +216,7 @@
     }
 
     private targets(): readonly TargetEntryView[] {
-        return this.engines.filter(({ readyAt }) => readyAt <= this.now).map(({ id, zone, kind, leavesAt }) => ({
-            target: asId<TargetId>(`e${id}`),
-            service,
-            address: "",
-            zone,
-            slots: slotsPerEngine,
-            leaving: leavesAt < Infinity,
-            incarnation: 1 as Incarnation,
-            models: [],
-            isReclaimable: kind === "reclaimable",
-        }));
+        return this.engines.filter(({ readyAt }) => readyAt <= this.now).map(engineEntryFixture);
     }
 
     private submitSteps(): void {
--- a/packages/core/src/lib/capacity/taskReplayFixtures.test.ts
+++ b/packages/core/src/lib/capacity/taskReplayFixtures.test.ts
@@ -4,10 +4,10 @@
  */
 
 import { type TargetEntryView } from "../directory/TargetDirectory.js";
-import { asId, type Incarnation, type Instant, type ServiceId, type TargetId, type ZoneId } from "../ids.js";
+import { asId, type Instant, type ServiceId, type ZoneId } from "../ids.js";
 import { seededRandom } from "../membership/seededRandom.js";
 import { type DutyCallEnd } from "../ports/DutyPlatform.js";
-import { slotsPerEngine, zoneOf } from "./capacityFixtures.test.js";
+import { engineEntryFixture, slotsPerEngine, zoneOf } from "./capacityFixtures.test.js";
 import { type CapacityDemand, type PlannedOrder } from "./CapacityInput.js";
 import { planCapacity } from "./CapacityPlanner.js";
 import { slotsOfOpenWork, StepForecast } from "./DemandForecast.js";
@@ -318,17 +318,7 @@
             const listed = this.engines.filter(({ id, readyAt }) =>
                 readyAt <= this.now && this.options.isUnlisted?.(id, this.now) !== true
             );
-            this.listed = listed.map(({ id, zone, kind, leavesAt }) => ({
-                target: asId<TargetId>(`e${id}`),
-                service,
-                address: "",
-                zone,
-                slots: slotsPerEngine,
-                leaving: leavesAt < Infinity,
-                incarnation: 1 as Incarnation,
-                models: [],
-                isReclaimable: kind === "reclaimable",
-            }));
+            this.listed = listed.map(engineEntryFixture);
             this.recent.record(this.listed, restartMs, this.now as Instant);
         }
     }
--- a/packages/rollout/src/lib/ViewTask.test.ts
+++ b/packages/rollout/src/lib/ViewTask.test.ts
@@ -1,15 +1,14 @@
 /** Tests how soon a host detects that the conductor's claim has lapsed. */
 
 import { createMonotonicClock } from "@tamarackpath/adapters";
-import { after, asId, type HostId, type PeerNetwork, type PlatformDocuments, type ZoneId } from "@tamarackpath/core";
+import { after, asId, type HostId, type PeerNetwork, type PlatformDocuments } from "@tamarackpath/core";
 import { expect } from "chai";
 import { Left, Right } from "purify-ts";
 import { type ConductorTask } from "./ConductorTask.js";
 import { HostView } from "./HostView.js";
 import { engineEntryFixture } from "./jobRunnerFixtures.test.js";
 import { noopJournal } from "./Journal.js";
-import { crashGuardFixture, permitsFixture, reachOptionsFixture } from "./permitsFixtures.test.js";
-import { defaultRolloutSettings } from "./RolloutSettings.js";
+import { crashGuardFixture, permitsFixture, viewOptionsFixture } from "./permitsFixtures.test.js";
 import { ViewTask } from "./ViewTask.js";
 
 const clock = createMonotonicClock();
@@ -38,13 +37,7 @@
         readTargets: async () => Left({ applied: "no", detail: "none" }),
     } as unknown as PlatformDocuments;
     const seeds = [asId<HostId>("silent"), asId<HostId>("other")];
-    const options = {
-        settings: defaultRolloutSettings,
-        seeds,
-        zone: asId<ZoneId>("z"),
-        hasCallers,
-        ...reachOptionsFixture,
-    };
+    const options = viewOptionsFixture({ seeds, hasCallers });
     const view = new HostView(clock, noopJournal);
     const task = new ViewTask(
         options,
--- a/packages/rollout/src/lib/configProofs.test.ts
+++ b/packages/rollout/src/lib/configProofs.test.ts
@@ -17,7 +17,6 @@
     type PeerRequests,
     type PlatformDocuments,
     sleepUntil,
-    type ZoneId,
 } from "@tamarackpath/core";
 import { expect } from "chai";
 import Emittery from "emittery";
@@ -26,7 +25,7 @@
 import { type ConductorTask } from "./ConductorTask.js";
 import { HostView } from "./HostView.js";
 import { type Journal } from "./Journal.js";
-import { crashGuardFixture, permitsFixture, reachOptionsFixture } from "./permitsFixtures.test.js";
+import { crashGuardFixture, permitsFixture, viewOptionsFixture } from "./permitsFixtures.test.js";
 import { defaultRolloutSettings } from "./RolloutSettings.js";
 import { createSteppingClock } from "./steppingClock.test.js";
 import { ViewTask } from "./ViewTask.js";
@@ -243,13 +242,9 @@
         } as unknown as ConductorTask;
         const view = new HostView(clock, this.journal);
         const task = new ViewTask(
-            {
+            viewOptionsFixture({
                 settings: { ...defaultRolloutSettings, revocationMs: this.conditions.revocationMs },
-                seeds: [],
-                zone: asId<ZoneId>("z"),
-                hasCallers: true,
-                ...reachOptionsFixture,
-            },
+            }),
             view,
             conductor,
             permitsFixture(peers, clock),
--- a/packages/rollout/src/lib/permitsFixtures.test.ts
+++ b/packages/rollout/src/lib/permitsFixtures.test.ts
@@ -1,12 +1,14 @@
 /** Builders of request permits for the tests of this folder. */
 
 import { createMonotonicClock } from "@tamarackpath/adapters";
-import { type Clock, type PeerNetwork } from "@tamarackpath/core";
+import { asId, type Clock, type PeerNetwork, type ZoneId } from "@tamarackpath/core";
 import Emittery from "emittery";
 import { type ConductorEvents, type ConductorTask } from "./ConductorTask.js";
 import { CrashGuard } from "./CrashGuard.js";
 import { noopJournal } from "./Journal.js";
 import { RequestPermits } from "./RequestPermits.js";
+import { defaultRolloutSettings } from "./RolloutSettings.js";
+import { type ViewTaskOptions } from "./ViewTask.js";
 
 /** The guard of a host that conducts. */
 export function crashGuardFixture(
@@ -33,9 +35,16 @@
     return new RequestPermits(conductor, peers, clock, noopJournal);
 }
 
-/** What a host's view task tells of targets and relays, at a host that reaches targets. */
-export const reachOptionsFixture = {
-    reachesTargets: () => true,
-    relaysFor: () => [],
-    onRelays: () => undefined,
-};
+/** Options of the view task of a host that has callers, reaches targets and knows no seeds, with changes. */
+export function viewOptionsFixture(changes: Partial<ViewTaskOptions> = {}): ViewTaskOptions {
+    return {
+        settings: defaultRolloutSettings,
+        seeds: [],
+        zone: asId<ZoneId>("z"),
+        hasCallers: true,
+        reachesTargets: () => true,
+        relaysFor: () => [],
+        onRelays: () => undefined,
+        ...changes,
+    };
+}
--- a/packages/rollout/src/lib/repeatUntil.test.ts
+++ b/packages/rollout/src/lib/repeatUntil.test.ts
@@ -1,23 +1,14 @@
 /** Tests that an unexpected error does not end a loop of a host's tasks. */
 
 import { createMonotonicClock } from "@tamarackpath/adapters";
-import {
-    after,
-    asId,
-    type HostId,
-    type PeerNetwork,
-    type PlatformDocuments,
-    sleepUntil,
-    type ZoneId,
-} from "@tamarackpath/core";
+import { after, asId, type HostId, type PeerNetwork, type PlatformDocuments, sleepUntil } from "@tamarackpath/core";
 import { expect } from "chai";
 import { Left, Right } from "purify-ts";
 import { type ConductorTask } from "./ConductorTask.js";
 import { HostView } from "./HostView.js";
 import { type Journal, noopJournal } from "./Journal.js";
-import { crashGuardFixture, permitsFixture, reachOptionsFixture } from "./permitsFixtures.test.js";
+import { crashGuardFixture, permitsFixture, viewOptionsFixture } from "./permitsFixtures.test.js";
 import { repeatUntil } from "./repeatUntil.js";
-import { defaultRolloutSettings } from "./RolloutSettings.js";
 import { ViewTask } from "./ViewTask.js";
 
 const clock = createMonotonicClock();
@@ -66,13 +57,7 @@
             setAddress: () => undefined,
             ask: async () => Left({ reason: "not-sent", detail: "none" }),
         } as unknown as PeerNetwork;
-        const options = {
-            settings: defaultRolloutSettings,
-            seeds: [asId<HostId>("seed")],
-            zone: asId<ZoneId>("z"),
-            hasCallers: true,
-            ...reachOptionsFixture,
-        };
+        const options = viewOptionsFixture({ seeds: [asId<HostId>("seed")] });
         const view = new HostView(clock, noopJournal);
         const task = new ViewTask(
             options,
--- a/packages/rollout/src/lib/viewRevisions.test.ts
+++ b/packages/rollout/src/lib/viewRevisions.test.ts
@@ -22,10 +22,9 @@
 import { type ConductorEvents, type ConductorTask } from "./ConductorTask.js";
 import { HostView } from "./HostView.js";
 import { noopJournal } from "./Journal.js";
-import { crashGuardFixture, permitsFixture, reachOptionsFixture } from "./permitsFixtures.test.js";
+import { crashGuardFixture, permitsFixture, viewOptionsFixture } from "./permitsFixtures.test.js";
 import { type RequestPermits } from "./RequestPermits.js";
 import { engineService, targetFixture } from "./rolloutFleetFixtures.test.js";
-import { defaultRolloutSettings } from "./RolloutSettings.js";
 import { ViewTask } from "./ViewTask.js";
 
 type Pull = PeerRequests["view-pull"]["ask"];
@@ -83,13 +82,7 @@
     const view = new HostView(clock, noopJournal);
     const permits = permitsFixture({ handle: () => undefined } as unknown as PeerNetwork, clock);
     const task = new ViewTask(
-        {
-            settings: defaultRolloutSettings,
-            seeds: [],
-            zone: asId<ZoneId>("z"),
-            hasCallers: true,
-            ...reachOptionsFixture,
-        },
+        viewOptionsFixture(),
         view,
         conductor,
         permits,
