Log how old the knowledge of ended jobs is when a task is sent

Neither logs nor metrics could tell whether a task of an ended job was started without knowledge of its end (starts-held said only that it was lifted), or started in time and written to its connection late. task-ended now has the age of the knowledge at the write and the time from the decision to the write, starts-held the age at the decision, and a gauge shows the age at the conductor. No decision changes.

--- a/packages/core/src/lib/ports/RolloutTargets.ts
+++ b/packages/core/src/lib/ports/RolloutTargets.ts
@@ -28,6 +28,8 @@
     /** Maximum number of connections from this host to the engine. */
     readonly maxConnections: number;
     readonly permit: RequestPermit;
+    /** Called before the first byte of the request is sent; until then the engine cannot run the task. */
+    readonly onSent?: () => void;
 }
 
 /**
--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -209,6 +209,11 @@
             && now - this.endsKnownUntil <= this.options.settings.maxUnknownEndMs;
     }
 
+    /** Milliseconds since the time until which all ends of jobs in the store are known here; undefined before the first read. */
+    endsAgeMs(now: Instant): number | undefined {
+        return this.endsKnownUntil === undefined ? undefined : now - this.endsKnownUntil;
+    }
+
     /** Whether the store answered the last call; other hosts cannot end jobs in a store that does not answer. */
     get isStoreReachable(): boolean {
         return this.jobs.isReachable;
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -94,7 +94,18 @@
         this.capacities = new EngineCapacities(view, versions, permits, running, paceTracker, backoff, clock);
         this.hold = new StartHold(registry, journal);
         this.mover = new RunMover(settings, view, versions, running, paceTracker, backoff, journal);
-        this.executionParts = { view, versions, permits, engines, running, paceTracker, slotPace, clock, journal };
+        this.executionParts = {
+            view,
+            versions,
+            permits,
+            engines,
+            running,
+            paceTracker,
+            slotPace,
+            endsAgeMs: now => registry.endsAgeMs(now),
+            clock,
+            journal,
+        };
         registry.events.on("opened", open => {
             this.stepWork.record(open.job);
             this.dispatch();
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -218,6 +218,11 @@
             && (this.viewTask.isCutOff || this.viewTask.isIsolated);
     }
 
+    /** Milliseconds for which ends of jobs in the store may have been unknown to this host; undefined elsewhere than at the conductor. */
+    get endsAgeMs(): number | undefined {
+        return this.conductor.isConductor ? this.tasks.registry.endsAgeMs(this.ports.clock.now()) : undefined;
+    }
+
     start(): void {
         this.ports.peers.handle("conductor-yield", async ({ fence }, from) => this.tasks.handover.yieldTo(from, fence));
         this.viewTask.start();
--- a/packages/rollout/src/lib/StartHold.ts
+++ b/packages/rollout/src/lib/StartHold.ts
@@ -31,7 +31,11 @@
         const isHeld = !this.mayStart(now);
         if (isHeld !== this.wasHeldLast) {
             this.wasHeldLast = isHeld;
-            this.journal.log("starts-held", { held: isHeld, storeReachable: this.registry.isStoreReachable });
+            this.journal.log("starts-held", {
+                held: isHeld,
+                storeReachable: this.registry.isStoreReachable,
+                endsAgeMs: this.registry.endsAgeMs(now),
+            });
         }
         return isHeld;
     }
--- a/packages/rollout/src/lib/TaskExecution.ts
+++ b/packages/rollout/src/lib/TaskExecution.ts
@@ -32,6 +32,8 @@
     readonly running: RunningTasks;
     readonly paceTracker: PaceTracker;
     readonly slotPace: SlotPace;
+    /** Milliseconds for which ends of jobs may have been unknown to this host at `now`. */
+    readonly endsAgeMs: (now: Instant) => number | undefined;
     readonly clock: Clock;
     readonly journal: Journal;
 }
@@ -42,6 +44,8 @@
     readonly running: RunningTask;
     private readonly run: TaskRun;
     private readonly startedAt: Instant;
+    /** When the request was sent, and the age of the known ends of jobs then; undefined before that. */
+    private sent: { readonly at: Instant; readonly endsAgeMs: number | undefined; } | undefined;
     private hasOldEvent = false;
 
     constructor(private readonly parts: TaskExecutionParts, private readonly assignment: TaskAssignment) {
@@ -75,6 +79,7 @@
                 afterEvent,
                 maxConnections: slotsOf(entry, spec),
                 permit: permits.take(entry, tasksFlow),
+                onSent: () => this.recordSent(),
             },
             (event, version) => this.accept(event, version),
             this.running.stop.signal,
@@ -101,11 +106,18 @@
             end: this.isTooOld ? "too-old" : this.running.moved ?? end.kind,
             detail: "detail" in end ? end.detail : "status" in end ? String(end.status) : undefined,
             events: run.progress.eventCount,
+            sentAfterMs: this.sent === undefined ? undefined : this.sent.at - startedAt,
+            endsAgeMs: this.sent?.endsAgeMs,
             ms: clock.now() - startedAt,
         });
         return end;
     }
 
+    private recordSent(): void {
+        const at = this.parts.clock.now();
+        this.sent = { at, endsAgeMs: this.parts.endsAgeMs(at) };
+    }
+
     private logStart(): void {
         const { view, permits, running, journal } = this.parts;
         const { run, target, discarded } = this.assignment;
--- a/packages/rollout/src/lib/jobRunnerFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRunnerFixtures.test.ts
@@ -183,6 +183,7 @@
         addResult: (unused: unknown, result: TaskResult) => results.push(result),
         dropEndedFromMemory: () => undefined,
         areEndsKnown: () => state.areEndsKnown,
+        endsAgeMs: () => undefined,
         isStoreReachable: true,
     } as unknown as JobRegistry;
     let lastTextId = 0;
