Hold tasks back unless an outage of the store is shown, not only a failed call

Callers saw tasks of a job that had ended start seconds later. While ends of jobs were unknown, the conductor started tasks as soon as its last call to the store had failed, since no job can end in a store that answers nobody. But calls also fail by the caller's own doing: a process with more to do than its processor allows runs the time limit before it reads the answer that has arrived, waits for one of its own connections, or is refused by the rate limit, while other hosts go on ending jobs. The guard against that, a check of 150 ms that may be 200 ms late, missed what ran before it in a late turn.

--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -14,6 +14,7 @@
     type JobTerms,
     type OpenJob,
     type OrganisationId,
+    sendDeadlineOf,
     sleepUntil,
     type TaskResult,
     type TaskRun,
@@ -214,9 +215,18 @@
         return this.endsKnownUntil === undefined ? undefined : now - this.endsKnownUntil;
     }
 
-    /** Whether the store answered the last call; other hosts cannot end jobs in a store that does not answer. */
-    get isStoreReachable(): boolean {
-        return this.jobs.isReachable;
+    /** Until when tasks may be sent to engines, as far as is known now; undefined if they may not be. */
+    get sendDeadline(): Instant | undefined {
+        return sendDeadlineOf(
+            { knownUntil: this.endsKnownUntil, lastOutageAt: this.jobs.lastOutageAt },
+            this.options.settings.maxUnknownEndMs,
+        );
+    }
+
+    /** Milliseconds since the store is known to have been unavailable to this host. */
+    outageAgeMs(now: Instant): number | undefined {
+        const { lastOutageAt } = this.jobs;
+        return lastOutageAt === undefined ? undefined : now - lastOutageAt;
     }
 
     hasEnded(job: JobId): boolean {
--- a/packages/rollout/src/lib/JobRunner.test.ts
+++ b/packages/rollout/src/lib/JobRunner.test.ts
@@ -1,5 +1,6 @@
 /** Tests of how a conductor starts the runs of tasks. */
 
+import { after } from "@tamarackpath/core";
 import { expect } from "chai";
 import { type EngineRun, jobRunnerFixture } from "./jobRunnerFixtures.test.js";
 import { createSteppingClock, type SteppingClock } from "./steppingClock.test.js";
@@ -67,12 +68,15 @@
     // Guards against a task that runs although its job ended in the store some seconds before.
     it("starts no task while ends of jobs in the store may be unknown, and goes on once they are known", async () => {
         const clock = createSteppingClock(0.01);
-        const { runner, runs, setEndsKnown } = jobRunnerFixture(clock, ["a", "b"], 2);
-        setEndsKnown(false);
+        const { runner, runs, setSendDeadline } = jobRunnerFixture(clock, ["a", "b"], 2);
+        setSendDeadline(undefined);
         runner.activate();
         await clock.advance(500);
         expect(runs.length).to.equal(0);
-        setEndsKnown(true);
+        setSendDeadline(clock.now());
+        await clock.advance(500);
+        expect(runs.length).to.equal(0);
+        setSendDeadline(after(clock.now(), 1000));
         await untilRuns(clock, runs, 2);
         runner.deactivate();
     });
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -176,7 +176,7 @@
             return;
         }
         const now = this.clock.now();
-        if (this.hold.isHeld(now)) {
+        if (this.hold.sendDeadline(now) === undefined) {
             return;
         }
         if (this.hasWaiting) {
--- a/packages/rollout/src/lib/JobStore.ts
+++ b/packages/rollout/src/lib/JobStore.ts
@@ -63,8 +63,9 @@
 export class JobStore {
     constructor(private readonly store: TransactionalStore, private readonly clock: Clock) {}
 
-    get isReachable(): boolean {
-        return this.store.isReachable;
+    /** The latest time at which the store is known to have been unavailable to this host. */
+    get lastOutageAt(): Instant | undefined {
+        return this.store.lastOutageAt;
     }
 
     /** Stores a job, retrying until `deadline` or until `shouldGiveUp` returns true. */
--- a/packages/rollout/src/lib/MemoryStore.test.ts
+++ b/packages/rollout/src/lib/MemoryStore.test.ts
@@ -23,13 +23,17 @@
 
 /** Keeps items in memory. */
 export class MemoryTransactionalStore implements TransactionalStore {
-    readonly isReachable = true;
+    readonly lastOutageAt: Instant | undefined = undefined;
     private readonly items = new Map<string, StoredItem>();
     private readonly late: Commit[] = [];
     private revision = 0;
 
     constructor(private readonly faults: WriteFault[] = []) {}
 
+    get isReachable(): boolean {
+        return true;
+    }
+
     /** Whether any write has ever taken effect. */
     get hasBeenWritten(): boolean {
         return this.revision > 0;
--- a/packages/rollout/src/lib/StartHold.ts
+++ b/packages/rollout/src/lib/StartHold.ts
@@ -1,6 +1,6 @@
 /**
  * Holds back the starts of tasks while their jobs may have ended in the store without this host's knowledge, and detects
- * when this process is late, so that a silent engine or an unreachable store is not taken for the cause.
+ * when this process is late, so that its runs are not taken for silent.
  */
 
 import { after, type Instant } from "@tamarackpath/core";
@@ -10,12 +10,11 @@
 /** Milliseconds by which a check may be late before this process, and not the engines, counts as the cause of silent runs. */
 const maxCheckDelayMs = 200;
 
-/** Milliseconds after a late check for which this process counts as late. */
-const lateTtlMs = 2000;
+/** Milliseconds after a late check for which further ones are not logged. */
+const lateLogIntervalMs = 2000;
 
-/** Decides whether tasks may start. */
+/** Decides until when tasks may be sent. */
 export class StartHold {
-    /** Until when this process counts as late, because it had more to do than its processor allows or was paused. */
     private lateUntil = 0 as Instant;
     private wasHeldLast = false;
 
@@ -26,18 +25,22 @@
         return this.wasHeldLast;
     }
 
-    /** Whether the starts of tasks are held back at `now`; logs when that begins and ends. */
-    isHeld(now: Instant): boolean {
-        const isHeld = !this.mayStart(now);
+    /**
+     * Until when tasks that are chosen at `now` may be sent; undefined while starts are held back. Logs when that begins
+     * and ends.
+     */
+    sendDeadline(now: Instant): Instant | undefined {
+        const { sendDeadline } = this.registry;
+        const isHeld = sendDeadline === undefined || now >= sendDeadline;
         if (isHeld !== this.wasHeldLast) {
             this.wasHeldLast = isHeld;
             this.journal.log("starts-held", {
                 held: isHeld,
-                storeReachable: this.registry.isStoreReachable,
                 endsAgeMs: this.registry.endsAgeMs(now),
+                outageAgeMs: this.registry.outageAgeMs(now),
             });
         }
-        return isHeld;
+        return isHeld ? undefined : sendDeadline;
     }
 
     /**
@@ -49,17 +52,9 @@
             if (now >= this.lateUntil) {
                 this.journal.log("process-late", { ms: now - dueAt, running });
             }
-            this.lateUntil = after(now, lateTtlMs);
+            this.lateUntil = after(now, lateLogIntervalMs);
             return true;
         }
         return false;
     }
-
-    /**
-     * Whether tasks may start: their jobs may have ended in the store without this host's knowledge. While the store does
-     * not answer, no job can end there, unless the calls to it fail because this process is late itself.
-     */
-    private mayStart(now: Instant): boolean {
-        return this.registry.areEndsKnown(now) || !this.registry.isStoreReachable && now >= this.lateUntil;
-    }
 }
--- a/packages/rollout/src/lib/jobRunnerFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRunnerFixtures.test.ts
@@ -60,8 +60,8 @@
     /** The rejected events: what was expected, and what came. */
     readonly rejected: (readonly [unknown, unknown])[];
     readonly entries: readonly TargetEntryView[];
-    /** Sets whether ends of jobs in the store are known at this host. */
-    readonly setEndsKnown: (areKnown: boolean) => void;
+    /** Sets until when tasks may be sent, as far as this host knows. */
+    readonly setSendDeadline: (deadline: Instant | undefined) => void;
 }
 
 export function engineEntryFixture(
@@ -166,7 +166,8 @@
                     }
                 };
                 const sendEvent = (id: number): boolean => onEvent({ id, data: "text" }, 1 as WeightVersion);
-                runs.push({ target: entry.target, entry, task: task.id, afterEvent, send, sendEvent, end });
+                const { target } = entry;
+                runs.push({ target, entry, task: task.id, afterEvent, send, sendEvent, end });
             }),
     } satisfies Partial<RolloutEngines> as unknown as RolloutEngines;
     const versions = {
@@ -177,14 +178,16 @@
         recordServedVersion: () => undefined,
         recordStillChanging: () => undefined,
     } as unknown as VersionTask;
-    const state = { areEndsKnown: true };
+    const state: { sendDeadline: Instant | undefined; } = { sendDeadline: Infinity as Instant };
     const registry = {
         events: new Emittery<JobRegistryEvents>(),
         addResult: (unused: unknown, result: TaskResult) => results.push(result),
         dropEndedFromMemory: () => undefined,
-        areEndsKnown: () => state.areEndsKnown,
+        get sendDeadline() {
+            return state.sendDeadline;
+        },
         endsAgeMs: () => undefined,
-        isStoreReachable: true,
+        outageAgeMs: () => undefined,
     } as unknown as JobRegistry;
     let lastTextId = 0;
     const scheduler = new JobScheduler(() => ++lastTextId);
@@ -203,9 +206,9 @@
         journal,
     );
     scheduler.add(engineJobFixture("j", tasks, expectedTokens), engineTermsFixture, new JobLog());
-    const setEndsKnown = (areKnown: boolean): void => {
-        state.areEndsKnown = areKnown;
+    const setSendDeadline = (deadline: Instant | undefined): void => {
+        state.sendDeadline = deadline;
         void registry.events.emit("endsKnown");
     };
-    return { runner, permits, scheduler, view, runs, results, rejected, entries, setEndsKnown };
+    return { runner, permits, scheduler, view, runs, results, rejected, entries, setSendDeadline };
 }
