Send no task from the time on at which its job may have ended unknown

Callers saw tasks of ended jobs start more than 3 s after the end. Whether a task may start was asked when it was chosen, and used when its request was written: after a wait for a connection (up to 2.5 s), or for the rest of the loop turn, since the HTTP library writes to an idle connection only at its end. With knowledge of ends that is 2.4 s old at the decision, nothing kept the sum below 3 s.

The deadline now goes with the request, is checked as it is written to its connection, and a task that is too late counts as not run.

--- a/packages/core/src/lib/ports/RolloutTargets.ts
+++ b/packages/core/src/lib/ports/RolloutTargets.ts
@@ -28,19 +28,26 @@
     /** Maximum number of connections from this host to the engine. */
     readonly maxConnections: number;
     readonly permit: RequestPermit;
+    /**
+     * Nothing is sent from this time on, as the job may have ended by then. A request waits for a connection, or for a process
+     * that is late, after it was decided on.
+     */
+    readonly sendDeadline: Instant;
     /** Called before the first byte of the request is sent; until then the engine cannot run the task. */
     readonly onSent?: () => void;
 }
 
 /**
  * How a run of a task ended. "impossible": the engine rejects the task itself, so that a retry fails too; "refused":
- * the engine reports that it did not run the task; "fault": the connection broke or the response was malformed.
+ * the engine reports that it did not run the task; "not-sent": the request could not be sent before its deadline; "fault":
+ * the connection broke or the response was malformed.
  */
 export type TaskRunOutcome =
     | { readonly kind: "completed"; }
     | { readonly kind: "failed"; readonly status: number; }
     | { readonly kind: "impossible"; }
     | { readonly kind: "refused"; readonly status: number; }
+    | { readonly kind: "not-sent"; }
     | { readonly kind: "unreachable"; readonly detail: string; }
     | { readonly kind: "fault"; readonly detail: string; }
     | { readonly kind: "cancelled"; };
--- a/packages/rollout/src/lib/JobRunner.test.ts
+++ b/packages/rollout/src/lib/JobRunner.test.ts
@@ -76,7 +76,19 @@
         setSendDeadline(clock.now());
         await clock.advance(500);
         expect(runs.length).to.equal(0);
-        setSendDeadline(after(clock.now(), 1000));
+        const deadline = after(clock.now(), 1000);
+        setSendDeadline(deadline);
+        await untilRuns(clock, runs, 2);
+        expect(runs.map(run => run.sendDeadline)).to.deep.equal([deadline, deadline]);
+        runner.deactivate();
+    });
+
+    // Guards against a task that is lost, or an engine that rests, because the request was not sent in time.
+    it("runs a task that was not sent in time once more, also at the same engine", async () => {
+        const clock = createSteppingClock(0.01);
+        const { runner, runs } = jobRunnerFixture(clock, ["a"], 1);
+        runner.activate();
+        runs[0]!.end({ kind: "not-sent" });
         await untilRuns(clock, runs, 2);
         runner.deactivate();
     });
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -45,6 +45,7 @@
     failed: "failed",
     impossible: "impossible",
     refused: "not-run",
+    "not-sent": "not-run",
     unreachable: "broken",
     fault: "broken",
 };
@@ -176,17 +177,18 @@
             return;
         }
         const now = this.clock.now();
-        if (this.hold.sendDeadline(now) === undefined) {
+        const sendDeadline = this.hold.sendDeadline(now);
+        if (sendDeadline === undefined) {
             return;
         }
         if (this.hasWaiting) {
-            this.startWaiting(now);
+            this.startWaiting(now, sendDeadline);
         }
         this.scheduleDispatch(now);
     }
 
     /** Starts waiting tasks until none can start; only the capacity of the engine that got a task is computed again. */
-    private startWaiting(now: Instant): void {
+    private startWaiting(now: Instant, sendDeadline: Instant): void {
         let engines = this.capacities.all();
         const softwareOf = new Map<ServiceId, ReadonlySet<SoftwareVersion>>();
         const listed = (service: ServiceId): ReadonlySet<SoftwareVersion> => {
@@ -199,7 +201,7 @@
             if (next === undefined) {
                 return;
             }
-            void this.run(next);
+            void this.run(next, sendDeadline);
             const entry = this.view.directory.get(next.target);
             const updated = entry === undefined ? undefined : this.capacities.of(entry, now);
             engines = engines.flatMap(engine => engine.target === next.target ? updated ?? [] : engine);
@@ -211,9 +213,9 @@
         this.scheduler.discardContradicted(entry).forEach(run => this.running.move(run, "restarted"));
     }
 
-    private async run(assignment: TaskAssignment): Promise<void> {
+    private async run(assignment: TaskAssignment, sendDeadline: Instant): Promise<void> {
         const { run } = assignment;
-        const execution = new TaskExecution(this.executionParts, assignment);
+        const execution = new TaskExecution(this.executionParts, assignment, sendDeadline);
         const { running, entry } = execution;
         const end = execution.recordEnd(await execution.start());
         if (running.moved === "restarted") {
--- a/packages/rollout/src/lib/TaskExecution.ts
+++ b/packages/rollout/src/lib/TaskExecution.ts
@@ -48,7 +48,12 @@
     private sent: { readonly at: Instant; readonly endsAgeMs: number | undefined; } | undefined;
     private hasOldEvent = false;
 
-    constructor(private readonly parts: TaskExecutionParts, private readonly assignment: TaskAssignment) {
+    /** The task is not sent from `sendDeadline` on. */
+    constructor(
+        private readonly parts: TaskExecutionParts,
+        private readonly assignment: TaskAssignment,
+        private readonly sendDeadline: Instant,
+    ) {
         const { run, target } = assignment;
         this.run = run;
         this.entry = parts.view.directory.get(target)!;
@@ -79,6 +84,7 @@
                 afterEvent,
                 maxConnections: slotsOf(entry, spec),
                 permit: permits.take(entry, tasksFlow),
+                sendDeadline: this.sendDeadline,
                 onSent: () => this.recordSent(),
             },
             (event, version) => this.accept(event, version),
--- a/packages/rollout/src/lib/jobRunnerFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRunnerFixtures.test.ts
@@ -43,6 +43,7 @@
     readonly entry: TargetEntryView;
     readonly task: TaskId;
     readonly afterEvent: number | undefined;
+    readonly sendDeadline: Instant;
     /** Sends `count` events that follow those that the request names; each names the engine's software. */
     readonly send: (count: number) => void;
     /** Sends an event with this id; false when the run does not take it. */
@@ -156,7 +157,7 @@
     view.applyTargets(entries, 0);
     const runs: EngineRun[] = [];
     const engines = {
-        run: (entry, { task, afterEvent }, onEvent, signal) =>
+        run: (entry, { task, afterEvent, sendDeadline }, onEvent, signal) =>
             new Promise(end => {
                 signal.addEventListener("abort", () => end({ kind: "cancelled" }));
                 let last = afterEvent ?? 0;
@@ -167,7 +168,7 @@
                 };
                 const sendEvent = (id: number): boolean => onEvent({ id, data: "text" }, 1 as WeightVersion);
                 const { target } = entry;
-                runs.push({ target, entry, task: task.id, afterEvent, send, sendEvent, end });
+                runs.push({ target, entry, task: task.id, afterEvent, sendDeadline, send, sendEvent, end });
             }),
     } satisfies Partial<RolloutEngines> as unknown as RolloutEngines;
     const versions = {
--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -399,8 +399,11 @@
                     confirmRetired: async () => Right(undefined),
                 },
                 engines: {
-                    run: async (entry, { task, organisation }, onEvent, signal) => {
+                    run: async (entry, { task, organisation, sendDeadline }, onEvent, signal) => {
                         const run = async (): Promise<TaskRunOutcome> => {
+                            if (clock.now() >= sendDeadline) {
+                                return { kind: "not-sent" };
+                            }
                             const { run: outcome } = await reach(self, entry, "run", task.id, undefined, organisation);
                             onEvent({ id: 1, data: "text" }, 1 as WeightVersion);
                             return outcome ?? { kind: "completed" };
