Follow ends of jobs while stored jobs are opened after a whole read

Seen: tasks of ended jobs reached engines later than 3 s after the end was acknowledged, when the conductor had begun to conduct a few seconds before.

Cause: LiveKeyWatch.readAll waited until all stored jobs were open before it followed changes. The results of a job are read with endless retries, so the slowest opening decided for how long ends of all other jobs stayed unknown. followChanges already opened jobs beside the watch.

Change: both use openBeside, which logs unexpected errors. A job that is being opened is not read again when the range is read again meanwhile, as the reads of the range no longer wait for it. The fixture of a job registry moves to a file of its own.

Evidence, LiveKeyWatch.test.ts, "learns of ends of jobs while the results of another job cannot be read". Before: AssertionError: expected [ 'other' ] to deeply equal [] After: 2 passing.

--- a/packages/rollout/src/lib/LiveKeyWatch.test.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.test.ts
@@ -2,23 +2,30 @@
 
 import {
     asId,
+    type Commit,
+    type CommitResult,
     type Instant,
     type JobId,
     jobKeys,
-    JobScheduler,
     type KeyRevision,
-    type ServiceId,
+    type KeyValueFailure,
+    sleepUntil,
+    type StoredChange,
+    type StoredChanges,
+    type StoredItem,
+    type StoredRange,
 } from "@tamarackpath/core";
 import { expect } from "chai";
+import { pack } from "msgpackr";
+import { type Either, Right } from "purify-ts";
 import { type ConductorTask } from "./ConductorTask.js";
-import { JobRegistry } from "./JobRegistry.js";
+import { type RegistryFixture, registryFixture } from "./jobRegistryFixtures.test.js";
 import { engineJobFixture } from "./jobRunnerFixtures.test.js";
-import { JobStore } from "./JobStore.js";
 import { noopJournal } from "./Journal.js";
 import { LiveKeyWatch } from "./LiveKeyWatch.js";
 import { MemoryTransactionalStore } from "./MemoryStore.test.js";
 import { defaultRolloutSettings } from "./RolloutSettings.js";
-import { createSteppingClock, settle } from "./steppingClock.test.js";
+import { createSteppingClock, settle, type SteppingClock } from "./steppingClock.test.js";
 
 const jobTargetMs = 3000;
 
@@ -32,51 +39,111 @@
     }
 }
 
+/** Milliseconds after which a watch of a `WatchedStore` reports changes. */
+const watchDelayMs = 100;
+
+/** A store whose watches report changes, and which does not answer reads under the prefixes in `unanswered`. */
+class WatchedStore extends MemoryTransactionalStore {
+    readonly unanswered = new Set<string>();
+    private readonly written: { readonly revision: KeyRevision; readonly change: StoredChange; }[] = [];
+
+    constructor(private readonly clock: SteppingClock) {
+        super();
+    }
+
+    override async range(prefix: string): Promise<Either<KeyValueFailure, StoredRange>> {
+        return this.unanswered.has(prefix) ? new Promise(() => undefined) : super.range(prefix);
+    }
+
+    override async commit(commit: Commit): Promise<Either<KeyValueFailure, CommitResult>> {
+        const res = await super.commit(commit);
+        const result = res.toMaybe().extract();
+        if (result?.kind === "committed") {
+            const { revision } = result;
+            const items: StoredItem[] = commit.puts.map(({ key, value }) => ({ key, value, revision }));
+            items.forEach(item => this.written.push({ revision, change: { key: item.key, item } }));
+            commit.removes.forEach(key => this.written.push({ revision, change: { key, item: undefined } }));
+        }
+        return res;
+    }
+
+    override async changes(
+        prefix = "",
+        since = 0 as KeyRevision,
+    ): Promise<Either<KeyValueFailure, StoredChanges>> {
+        await sleepUntil(this.clock, this.clock.now() + watchDelayMs as Instant);
+        const newer = this.written.filter(({ revision, change }) => revision > since && change.key.startsWith(prefix));
+        const asOf = Math.max(since, ...newer.map(({ revision }) => revision)) as KeyRevision;
+        return Right({ kind: "changes", changes: newer.map(({ change }) => change), asOf });
+    }
+}
+
+interface WatchFixture<Store extends MemoryTransactionalStore> extends RegistryFixture<Store> {
+    readonly watch: LiveKeyWatch;
+    /** Stores a job as another host does. */
+    readonly keep: (id: string) => Promise<void>;
+    /** Ends a job in the store as another host does. */
+    readonly end: (id: string) => Promise<void>;
+}
+
+/** A watch of a host that conducts. */
+function watchFixture<Store extends MemoryTransactionalStore>(
+    store: Store,
+    clock: SteppingClock,
+): WatchFixture<Store> {
+    const fixture = registryFixture(store, clock);
+    const { registry, jobs } = fixture;
+    const conductor = { isConductor: true, applyClaimChange: () => undefined } as unknown as ConductorTask;
+    return {
+        ...fixture,
+        watch: new LiveKeyWatch(store, jobs, registry, conductor, clock, noopJournal),
+        keep: async id => void await jobs.keep(engineJobFixture(id, 1), jobTargetMs as Instant, () => false),
+        end: async id => {
+            await store.commit({
+                expected: [],
+                puts: [{ key: jobKeys.ended(asId<JobId>(id)), value: pack({ total: 1, endedAt: Date.now() }) }],
+                removes: [jobKeys.open(asId<JobId>(id))],
+            });
+        },
+    };
+}
+
 describe("LiveKeyWatch", () => {
     // Guards against tasks that start more than three seconds after their job ended in the store.
     it("lets the conductor know for how long ends of jobs may be unknown to it", async () => {
         const clock = createSteppingClock(1);
-        const store = new SilentWatchStore();
-        const jobs = new JobStore(store, clock);
-        const job = engineJobFixture("j", 1);
-        await jobs.keep(job, jobTargetMs as Instant, () => false);
-        const registry = new JobRegistry(
-            {
-                settings: defaultRolloutSettings,
-                termsOf: () => ({
-                    service: asId<ServiceId>("s"),
-                    maxAttempts: 1,
-                    priority: 0,
-                    singleVersion: false,
-                    expiresAt: Infinity as Instant,
-                    dueAt: 0 as Instant,
-                }),
-                fence: () => 1 as KeyRevision,
-                onClaimChanged: () => undefined,
-            },
-            new JobScheduler(() => 1),
-            jobs,
-            clock,
-            noopJournal,
-        );
-        registry.activate();
-        const conductor = { isConductor: true, applyClaimChange: () => undefined } as unknown as ConductorTask;
-        const watch = new LiveKeyWatch(store, jobs, registry, conductor, clock, noopJournal);
+        const { store, registry, watch, keep, end } = watchFixture(new SilentWatchStore(), clock);
+        await keep("j");
         expect(registry.areEndsKnown(clock.now())).to.equal(false);
         watch.activate();
         await settle();
         expect(registry.has(asId<JobId>("j"))).to.equal(true);
         expect(registry.areEndsKnown(clock.now())).to.equal(true);
         // Another host ends the job; the watch that would report it gets no answer.
-        await store.commit({
-            expected: [],
-            puts: [{ key: jobKeys.ended(job.id), value: new Uint8Array([1]) }],
-            removes: [jobKeys.open(job.id)],
-        });
+        await end("j");
         await clock.advance(defaultRolloutSettings.maxUnknownEndMs + 1);
         expect(registry.areEndsKnown(clock.now())).to.equal(false);
         // A watch that waits longer than this would be late even with a connection that answers.
         expect(Math.max(...store.waits)).to.be.lessThan(defaultRolloutSettings.maxUnknownEndMs / 2);
         watch.deactivate();
     });
+
+    // Guards against tasks of ended jobs that start because one job's results cannot be read when this host begins to conduct.
+    it("learns of ends of jobs while the results of another job cannot be read", async () => {
+        const clock = createSteppingClock(0);
+        const { store, registry, openIds, watch, keep, end } = watchFixture(new WatchedStore(clock), clock);
+        await keep("slow");
+        await keep("other");
+        store.unanswered.add(jobKeys.resultsPrefix(asId<JobId>("slow")));
+        watch.activate();
+        await settle();
+        expect(openIds()).to.deep.equal(["other"]);
+        await end("other");
+        await clock.advance(2 * watchDelayMs);
+        expect(openIds()).to.deep.equal([]);
+        expect(registry.hasEnded(asId<JobId>("other"))).to.equal(true);
+        await clock.advance(2 * defaultRolloutSettings.maxUnknownEndMs);
+        expect(registry.areEndsKnown(clock.now())).to.equal(true);
+        watch.deactivate();
+    });
 });
--- a/packages/rollout/src/lib/LiveKeyWatch.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.ts
@@ -32,6 +32,8 @@
 /** Applies changes of the live keys to the conductor's claim and jobs. */
 export class LiveKeyWatch {
     private generation = 0;
+    /** Jobs that are being opened for the current generation, so that a repeated read of the range does not read them again. */
+    private opening = new Set<JobId>();
 
     constructor(
         private readonly store: TransactionalStore,
@@ -44,6 +46,7 @@
 
     activate(): void {
         this.generation++;
+        this.opening = new Set();
         void this.loop(this.generation);
     }
 
@@ -81,7 +84,7 @@
         const ended = range.items.filter(({ key }) => key.startsWith(jobKeys.endedPrefix));
         ended.forEach(item => this.closeEnded(item));
         this.registry.recordEndsKnown(startedAt);
-        await Promise.all(open.map(item => this.openStored(item)));
+        this.openBeside(open);
         void this.registry.removeEndedFromStore(
             ended.map(item => ({
                 job: jobOf(item.key, jobKeys.endedPrefix),
@@ -106,14 +109,11 @@
             }
         }
         this.registry.recordEndsKnown(startedAt);
-        for (const { key, item } of seen.changes) {
-            if (key.startsWith(jobKeys.openPrefix) && item !== undefined) {
-                // Reading the parts of a large job takes time in which ends of other jobs would stay unknown.
-                void this.openStored(item).catch((err: unknown) =>
-                    this.journal.log("unexpected-error", { loop: "open a job", detail: String(err) })
-                );
-            }
-        }
+        this.openBeside(
+            seen.changes.flatMap(({ key, item }) =>
+                key.startsWith(jobKeys.openPrefix) && item !== undefined ? [item] : []
+            ),
+        );
         return seen.asOf;
     }
 
@@ -121,10 +121,27 @@
         this.registry.close(jobOf(key, jobKeys.endedPrefix), (unpack(value) as EndedJob).organisation);
     }
 
-    private async openStored(item: StoredItem): Promise<void> {
-        if (this.registry.has(jobOf(item.key, jobKeys.openPrefix))) {
-            return;
+    /**
+     * Opens stored jobs while the watch goes on. Reading a job's parts and results takes any time, in which ends of other
+     * jobs would stay unknown.
+     */
+    private openBeside(items: readonly StoredItem[]): void {
+        const { opening } = this;
+        for (const item of items) {
+            const job = jobOf(item.key, jobKeys.openPrefix);
+            if (this.registry.has(job) || opening.has(job)) {
+                continue;
+            }
+            opening.add(job);
+            void this.openStored(item)
+                .catch((err: unknown) =>
+                    this.journal.log("unexpected-error", { loop: "open a job", detail: String(err) })
+                )
+                .finally(() => opening.delete(job));
         }
+    }
+
+    private async openStored(item: StoredItem): Promise<void> {
         const job = (await this.jobs.readOpen(item)).toMaybe().extract();
         if (job !== undefined) {
             await this.registry.open(job, false);
--- /dev/null
+++ b/packages/rollout/src/lib/jobRegistryFixtures.test.ts
@@ -0,0 +1,50 @@
+/** Builders of a conductor's job registry over a store, for the tests of this folder. */
+
+import { type Clock, type JobId, JobScheduler, type JobTerms, type KeyRevision } from "@tamarackpath/core";
+import { JobRegistry } from "./JobRegistry.js";
+import { engineTermsFixture } from "./jobRunnerFixtures.test.js";
+import { JobStore } from "./JobStore.js";
+import { noopJournal } from "./Journal.js";
+import { type MemoryTransactionalStore } from "./MemoryStore.test.js";
+import { defaultRolloutSettings } from "./RolloutSettings.js";
+
+export interface RegistryFixture<Store extends MemoryTransactionalStore> {
+    readonly registry: JobRegistry;
+    readonly store: Store;
+    readonly jobs: JobStore;
+    readonly openIds: () => readonly JobId[];
+    readonly setFence: (fence: number | undefined) => void;
+    readonly setRouted: (isRouted: boolean) => void;
+}
+
+/** A registry that is active under a claim, with a route for every job. */
+export function registryFixture<Store extends MemoryTransactionalStore>(
+    store: Store,
+    clock: Clock,
+): RegistryFixture<Store> {
+    let fence: number | undefined = 3;
+    let isRouted = true;
+    const jobs = new JobStore(store, clock);
+    const scheduler = new JobScheduler(() => 1);
+    const registry = new JobRegistry(
+        {
+            settings: defaultRolloutSettings,
+            termsOf: (): JobTerms | undefined => isRouted ? engineTermsFixture : undefined,
+            fence: () => fence as KeyRevision | undefined,
+            onClaimChanged: () => undefined,
+        },
+        scheduler,
+        jobs,
+        clock,
+        noopJournal,
+    );
+    registry.activate();
+    return {
+        registry,
+        store,
+        jobs,
+        openIds: () => scheduler.open.map(({ job }) => job.id),
+        setFence: value => fence = value,
+        setRouted: value => isRouted = value,
+    };
+}
