Keep the end of a job in memory while the job is being opened

Seen: a job whose end was known here opened as new, and its tasks ran, until the next whole read of the live keys; the watch does not report an end twice.

Change: an end is kept while the job is being opened, and applyRoutes passes over jobs that no longer wait for a route.

Evidence, JobRegistry.test.ts. Before, "opens no job that ended long before its results could be read": AssertionError: expected [ 'a' ] to deeply equal [] and "opens no job that ended long ago, while another job that waited for the same route was being opened": AssertionError: expected [ 'a', 'b' ] to deeply equal [ 'a' ] After: 5 passing. The other tests of the file use the shared fixture now; what they check is unchanged.

--- a/packages/rollout/src/lib/JobRegistry.test.ts
+++ b/packages/rollout/src/lib/JobRegistry.test.ts
@@ -1,105 +1,96 @@
 /** Tests that only the holder of the claim opens jobs. */
 
-import { createMonotonicClock } from "@tamarackpath/adapters";
-import {
-    asId,
-    type Instant,
-    type Job,
-    type JobId,
-    JobScheduler,
-    type KeyRevision,
-    type ServiceId,
-} from "@tamarackpath/core";
+import { asId, type JobId, jobKeys, type KeyValueFailure, type StoredRange } from "@tamarackpath/core";
 import { expect } from "chai";
-import { JobRegistry } from "./JobRegistry.js";
-import { JobStore } from "./JobStore.js";
-import { noopJournal } from "./Journal.js";
+import { type Either, Left } from "purify-ts";
+import { type RegistryFixture, registryFixture } from "./jobRegistryFixtures.test.js";
+import { engineJobFixture } from "./jobRunnerFixtures.test.js";
 import { MemoryTransactionalStore } from "./MemoryStore.test.js";
-import { defaultRolloutSettings } from "./RolloutSettings.js";
+import { createSteppingClock, type SteppingClock } from "./steppingClock.test.js";
 
-function jobFixture(id: string): Job {
-    return {
-        id: asId<JobId>(id),
-        host: "h",
-        path: "/p/",
-        submittedAt: 0 as Instant,
-        step: 0,
-        model: "m",
-        minVersion: 1 as Job["minVersion"],
-        targetGroups: 1,
-        tasks: [],
-    };
+const [a, b] = [asId<JobId>("a"), asId<JobId>("b")];
+
+/** Longer than the end of a job that is neither open nor being opened is remembered. */
+const forgottenMs = 60_000;
+
+/** A store that refuses to read the results of the jobs in `unreadable`. */
+class PartlyUnreadableStore extends MemoryTransactionalStore {
+    readonly unreadable = new Set<JobId>();
+
+    override async range(prefix: string): Promise<Either<KeyValueFailure, StoredRange>> {
+        const isUnreadable = [...this.unreadable].some(job => prefix === jobKeys.resultsPrefix(job));
+        return isUnreadable ? Left({ applied: "no", detail: "unreadable" }) : super.range(prefix);
+    }
 }
 
-interface Fixture {
-    readonly registry: JobRegistry;
-    readonly store: MemoryTransactionalStore;
-    readonly openIds: () => readonly JobId[];
-    readonly setFence: (fence: number | undefined) => void;
-    readonly setRouted: (isRouted: boolean) => void;
+interface Fixture extends RegistryFixture<PartlyUnreadableStore> {
+    readonly clock: SteppingClock;
 }
 
-function registryFixture(store = new MemoryTransactionalStore()): Fixture {
-    let fence: number | undefined = 3;
-    let isRouted = true;
-    const clock = createMonotonicClock();
-    const scheduler = new JobScheduler(() => 1);
-    const terms = {
-        service: asId<ServiceId>("s"),
-        maxAttempts: 3,
-        priority: 1,
-        singleVersion: false,
-        expiresAt: 0 as Instant,
-        dueAt: 0 as Instant,
-    };
-    const registry = new JobRegistry(
-        {
-            settings: defaultRolloutSettings,
-            termsOf: () => isRouted ? terms : undefined,
-            fence: () => fence as KeyRevision | undefined,
-            onClaimChanged: () => undefined,
-        },
-        scheduler,
-        new JobStore(store, clock),
-        clock,
-        noopJournal,
-    );
-    registry.activate();
-    return {
-        registry,
-        store,
-        openIds: () => scheduler.open.map(({ job }) => job.id),
-        setFence: value => fence = value,
-        setRouted: value => isRouted = value,
-    };
+function fixture(): Fixture {
+    const clock = createSteppingClock(0);
+    return { ...registryFixture(new PartlyUnreadableStore(), clock), clock };
 }
 
 describe("JobRegistry", () => {
     it("opens no job after its host lost the claim, and keeps the open ones", async () => {
-        const { registry, openIds, setFence } = registryFixture();
-        await registry.open(jobFixture("a"), true);
+        const { registry, openIds, setFence } = fixture();
+        await registry.open(engineJobFixture("a", 1), true);
         setFence(undefined);
-        await registry.open(jobFixture("b"), true);
+        await registry.open(engineJobFixture("b", 1), true);
         expect(openIds()).to.deep.equal(["a"]);
     });
 
     // The next two guard against items of an ended job that run because the end came while the job was not open yet.
     it("opens no job that ends while its results are read", async () => {
-        const { registry, openIds } = registryFixture();
-        const opening = registry.open(jobFixture("a"), false);
-        registry.close(asId<JobId>("a"));
+        const { registry, openIds } = fixture();
+        const opening = registry.open(engineJobFixture("a", 1), false);
+        registry.close(a);
         await opening;
         expect(openIds()).to.deep.equal([]);
     });
 
     it("opens no job that ends while it waits for a route", async () => {
-        const { registry, openIds, setRouted } = registryFixture();
+        const { registry, openIds, setRouted } = fixture();
         setRouted(false);
-        await registry.open(jobFixture("a"), true);
-        await registry.open(jobFixture("b"), true);
-        registry.close(asId<JobId>("a"));
+        await registry.open(engineJobFixture("a", 1), true);
+        await registry.open(engineJobFixture("b", 1), true);
+        registry.close(a);
         setRouted(true);
         await registry.applyRoutes();
         expect(openIds()).to.deep.equal(["b"]);
     });
+
+    // The next two guard against tasks of an ended job that run because its end was forgotten while the job was being opened.
+    it("opens no job that ended long before its results could be read", async () => {
+        const { registry, store, clock, openIds } = fixture();
+        store.unreadable.add(a);
+        const opening = registry.open(engineJobFixture("a", 1), false);
+        registry.close(a);
+        clock.pass(forgottenMs);
+        registry.dropEndedFromMemory();
+        store.unreadable.clear();
+        await clock.advance(forgottenMs);
+        await opening;
+        expect(openIds()).to.deep.equal([]);
+        registry.dropEndedFromMemory();
+        expect(registry.hasEnded(a)).to.equal(false);
+    });
+
+    it("opens no job that ended long ago, while another job that waited for the same route was being opened", async () => {
+        const { registry, store, clock, openIds, setRouted } = fixture();
+        setRouted(false);
+        await registry.open(engineJobFixture("a", 1), false);
+        await registry.open(engineJobFixture("b", 1), false);
+        setRouted(true);
+        store.unreadable.add(a);
+        const opening = registry.applyRoutes();
+        registry.close(b);
+        clock.pass(forgottenMs);
+        registry.dropEndedFromMemory();
+        store.unreadable.clear();
+        await clock.advance(forgottenMs);
+        await opening;
+        expect(openIds()).to.deep.equal(["a"]);
+    });
 });
--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -187,7 +187,10 @@
             open.terms = this.options.termsOf(open.job) ?? open.terms;
         }
         for (const job of [...this.unroutable.values()]) {
-            await this.open(job, false);
+            // The job may have ended while the ones before it were opened, and its end may be forgotten by now.
+            if (this.unroutable.get(job.id) === job) {
+                await this.open(job, false);
+            }
         }
     }
 
@@ -302,7 +305,7 @@
         }
     }
 
-    /** Drops ended jobs from memory after `endedJobTtlMs`. */
+    /** Drops ended jobs from memory after `endedJobTtlMs`; the end of a job that is still being opened is kept. */
     dropEndedFromMemory(): void {
         const now = this.clock.now();
         for (const [job, { endedAt }] of this.ended) {
@@ -311,7 +314,8 @@
             }
         }
         for (const [job, { knownAt }] of this.endedUnopened) {
-            if (now - knownAt > endedJobTtlMs) {
+            // Reading the results of a job may take any time, and a job whose end is forgotten meanwhile is opened.
+            if (now - knownAt > endedJobTtlMs && !this.opening.has(job)) {
                 this.endedUnopened.delete(job);
             }
         }
