End openings of jobs and knowledge of ends with the term of their host

Seen: a host that yielded and conducted again soon after could open a job that had ended, and start its tasks before its first whole read of the live keys.

Cause: JobRegistry.deactivate dropped the known ends, but kept endsKnownUntil, which vouches for them, and the openings of the old term. Such an opening went on in the new term, where the end of its job was no longer known, and kept the new term from opening the job. The same held for jobs that waited for a route and for jobs whose parts LiveKeyWatch was reading.

Change: deactivate resets endsKnownUntil and replaces the set of openings; an opening whose set is not the current one is dropped, and so is a job that was read for an earlier generation of the watch. A host that regains a lapsed claim gets no deactivate, so it keeps its openings and its knowledge.

--- a/packages/rollout/src/lib/JobRegistry.test.ts
+++ b/packages/rollout/src/lib/JobRegistry.test.ts
@@ -13,13 +13,17 @@
 /** Longer than the end of a job that is neither open nor being opened is remembered. */
 const forgottenMs = 60_000;
 
-/** A store that refuses to read the results of the jobs in `unreadable`. */
+/** A store that refuses to read the results of the jobs in `unreadable`, and gives no answer for those in `silent`. */
 class PartlyUnreadableStore extends MemoryTransactionalStore {
     readonly unreadable = new Set<JobId>();
+    readonly silent = new Set<JobId>();
 
     override async range(prefix: string): Promise<Either<KeyValueFailure, StoredRange>> {
-        const isUnreadable = [...this.unreadable].some(job => prefix === jobKeys.resultsPrefix(job));
-        return isUnreadable ? Left({ applied: "no", detail: "unreadable" }) : super.range(prefix);
+        const isOneOf = (jobs: Set<JobId>): boolean => [...jobs].some(job => prefix === jobKeys.resultsPrefix(job));
+        if (isOneOf(this.silent)) {
+            return new Promise(() => undefined);
+        }
+        return isOneOf(this.unreadable) ? Left({ applied: "no", detail: "unreadable" }) : super.range(prefix);
     }
 }
 
@@ -93,4 +97,75 @@
         await opening;
         expect(openIds()).to.deep.equal(["a"]);
     });
+
+    // The next four guard against tasks of a job whose end this host knew in an earlier term, which it then forgot.
+    it("opens no job in a later term than the one in which the opening began", async () => {
+        const { registry, store, clock, openIds } = fixture();
+        store.unreadable.add(a);
+        const opening = registry.open(engineJobFixture("a", 1), false);
+        registry.close(a);
+        registry.deactivate();
+        registry.activate();
+        store.unreadable.clear();
+        await clock.advance(forgottenMs);
+        await opening;
+        expect(openIds()).to.deep.equal([]);
+    });
+
+    it("opens no job that waited for a route in an earlier term", async () => {
+        const { registry, store, clock, openIds, setRouted } = fixture();
+        setRouted(false);
+        await registry.open(engineJobFixture("a", 1), false);
+        await registry.open(engineJobFixture("b", 1), false);
+        setRouted(true);
+        store.unreadable.add(a);
+        const opening = registry.applyRoutes();
+        registry.close(b);
+        registry.deactivate();
+        registry.activate();
+        store.unreadable.clear();
+        await clock.advance(forgottenMs);
+        await opening;
+        expect(openIds()).to.deep.equal([]);
+    });
+
+    it("knows no ends of jobs from an earlier term", () => {
+        const { registry, clock } = fixture();
+        registry.recordEndsKnown(clock.now());
+        expect(registry.areEndsKnown(clock.now())).to.equal(true);
+        registry.deactivate();
+        registry.activate();
+        expect(registry.areEndsKnown(clock.now())).to.equal(false);
+    });
+
+    it("remembers ends of jobs when its host regains a claim that had lapsed", async () => {
+        const { registry, store, clock, openIds, setFence } = fixture();
+        registry.recordEndsKnown(clock.now());
+        store.unreadable.add(a);
+        store.unreadable.add(b);
+        const openings = ["a", "b"].map(id => registry.open(engineJobFixture(id, 1), false));
+        registry.close(a);
+        setFence(undefined);
+        setFence(5);
+        registry.activate();
+        expect(registry.areEndsKnown(clock.now())).to.equal(true);
+        store.unreadable.clear();
+        await clock.advance(forgottenMs);
+        await Promise.all(openings);
+        expect(openIds()).to.deep.equal(["b"]);
+        expect(registry.hasEnded(a)).to.equal(true);
+    });
+
+    // Guards against a job that is never run because an opening of an earlier term has not ended.
+    it("opens a job while an opening of an earlier term waits for an answer", async () => {
+        const { registry, store, clock, openIds } = fixture();
+        store.silent.add(a);
+        void registry.open(engineJobFixture("a", 1), false);
+        registry.deactivate();
+        registry.activate();
+        store.silent.clear();
+        await registry.open(engineJobFixture("a", 1), false);
+        await clock.advance(0);
+        expect(openIds()).to.deep.equal(["a"]);
+    });
 });
--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -73,7 +73,8 @@
         JobId,
         { readonly knownAt: Instant; readonly organisation: OrganisationId | undefined; }
     >();
-    private readonly opening = new Set<JobId>();
+    /** Jobs that are being opened. Each term has its own set, as openings end with the term in which they began. */
+    private opening = new Set<JobId>();
     /** Results from a previous conductor, for jobs that are not open here yet. */
     private readonly inherited = new Map<JobId, TaskResult[]>();
     /** Stored jobs that match no known route yet. */
@@ -113,6 +114,9 @@
         this.scheduler.open.forEach(open => void this.events.emit("stopped", this.scheduler.remove(open.job.id)));
         this.ended.clear();
         this.endedUnopened.clear();
+        // What it vouches for has just been dropped.
+        this.endsKnownUntil = undefined;
+        this.opening = new Set();
         this.unroutable.clear();
         this.inherited.clear();
     }
@@ -149,10 +153,12 @@
             return;
         }
         this.unroutable.delete(job.id);
-        this.opening.add(job.id);
+        const { opening } = this;
+        opening.add(job.id);
         try {
             const log = isNew ? new JobLog() : await this.readLog(job.id);
-            if (!this.canOpen || this.hasEnded(job.id)) {
+            // The end of a job that was known in an earlier term may be forgotten in this one.
+            if (!this.canOpen || opening !== this.opening || this.hasEnded(job.id)) {
                 return;
             }
             (this.inherited.get(job.id) ?? []).forEach(result => log.add(result));
@@ -170,7 +176,7 @@
             await this.events.emit("opened", open);
         }
         finally {
-            this.opening.delete(job.id);
+            opening.delete(job.id);
         }
     }
 
@@ -344,9 +350,11 @@
         void this.events.emit("listed", open.job.id);
     }
 
+    /** Reads the listed results of a job; incomplete when the term ends before the store answers. */
     private async readLog(job: JobId): Promise<JobLog> {
         const log = new JobLog();
-        while (this.isActive) {
+        const { opening } = this;
+        while (this.isActive && opening === this.opening) {
             const chunks = (await this.jobs.results(job)).toMaybe().extract();
             if (chunks !== undefined) {
                 chunks.forEach(chunk => log.adopt(chunk));
--- a/packages/rollout/src/lib/LiveKeyWatch.test.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.test.ts
@@ -5,6 +5,7 @@
     type Commit,
     type CommitResult,
     type Instant,
+    type Job,
     type JobId,
     jobKeys,
     type KeyRevision,
@@ -47,11 +48,26 @@
     readonly unanswered = new Set<string>();
     private readonly written: { readonly revision: KeyRevision; readonly change: StoredChange; }[] = [];
 
+    private readonly heldBack = new Map<string, Promise<void>>();
+
     constructor(private readonly clock: SteppingClock) {
         super();
     }
 
+    /** Delays answers to reads under `prefix`, which have what the store held before, until the returned function is called. */
+    holdBack(prefix: string): () => void {
+        let release = (): void => undefined;
+        this.heldBack.set(prefix, new Promise(resolve => release = resolve));
+        return release;
+    }
+
     override async range(prefix: string): Promise<Either<KeyValueFailure, StoredRange>> {
+        const held = this.heldBack.get(prefix);
+        if (held !== undefined) {
+            const res = await super.range(prefix);
+            await held;
+            return res;
+        }
         return this.unanswered.has(prefix) ? new Promise(() => undefined) : super.range(prefix);
     }
 
@@ -82,6 +98,8 @@
     readonly watch: LiveKeyWatch;
     /** Stores a job as another host does. */
     readonly keep: (id: string) => Promise<void>;
+    /** Stores a job whose document has parts as another host does. */
+    readonly keepLarge: (id: string) => Promise<void>;
     /** Ends a job in the store as another host does. */
     readonly end: (id: string) => Promise<void>;
 }
@@ -93,11 +111,13 @@
 ): WatchFixture<Store> {
     const fixture = registryFixture(store, clock);
     const { registry, jobs } = fixture;
+    const keep = async (job: Job): Promise<void> => void await jobs.keep(job, jobTargetMs as Instant, () => false);
     const conductor = { isConductor: true, applyClaimChange: () => undefined } as unknown as ConductorTask;
     return {
         ...fixture,
         watch: new LiveKeyWatch(store, jobs, registry, conductor, clock, noopJournal),
-        keep: async id => void await jobs.keep(engineJobFixture(id, 1), jobTargetMs as Instant, () => false),
+        keep: id => keep(engineJobFixture(id, 1)),
+        keepLarge: id => keep({ ...engineJobFixture(id, 1), path: "x".repeat(1_000_000) }),
         end: async id => {
             await store.commit({
                 expected: [],
@@ -146,4 +166,24 @@
         expect(registry.areEndsKnown(clock.now())).to.equal(true);
         watch.deactivate();
     });
+
+    // Guards against tasks of a job that ended in an earlier term of this host, in which the reading of its parts began.
+    it("opens no job whose parts were requested in an earlier term", async () => {
+        const clock = createSteppingClock(0);
+        const { store, registry, openIds, watch, keepLarge, end } = watchFixture(new WatchedStore(clock), clock);
+        await keepLarge("j");
+        const answer = store.holdBack(jobKeys.partsPrefix(asId<JobId>("j")));
+        watch.activate();
+        await settle();
+        await end("j");
+        watch.deactivate();
+        registry.deactivate();
+        registry.activate();
+        store.unanswered.add(jobKeys.live);
+        watch.activate();
+        answer();
+        await clock.advance(watchDelayMs);
+        expect(openIds()).to.deep.equal([]);
+        watch.deactivate();
+    });
 });
--- a/packages/rollout/src/lib/LiveKeyWatch.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.ts
@@ -142,8 +142,10 @@
     }
 
     private async openStored(item: StoredItem): Promise<void> {
+        const { generation } = this;
         const job = (await this.jobs.readOpen(item)).toMaybe().extract();
-        if (job !== undefined) {
+        // A job that was requested for an earlier generation may have ended since; the current one reads the range itself.
+        if (job !== undefined && generation === this.generation) {
             await this.registry.open(job, false);
         }
     }
