Report the loss of the claim before the resignation is written

Seen: a conductor that claimed again right after it had stepped down did not learn of ends of jobs in its new term, and named no conductor to its callers.

Cause: ConductorTask.stepDown emitted "lost", and set the conductor to undefined, only after its write to the store was answered, up to 2 s later. If this host had claimed again by then, "lost" stopped the watch of the new term for good. If it had found a successor, it forgot that one.

Change: "lost" is emitted when the term has ended, before the write. The conductor is set to undefined only while this host has no newer claim and follows no other host. Followers whose pulls wait at this host relied on the old order: they look for the next conductor when the pull is answered, which is of use only once the resignation is in the store. PullResponder therefore listens to the new event "released", which comes where "lost" came before. RolloutHost.resign and ConductorSuccession relied on nothing of the order: the first waits for the write and runs its tasks on, the second does not wait at all. In RolloutHost the watch stops up to 2 s earlier, so starts are held earlier as well.

--- a/packages/rollout/src/lib/ConductorTask.test.ts
+++ b/packages/rollout/src/lib/ConductorTask.test.ts
@@ -138,6 +138,15 @@
     };
 }
 
+/** Names of the events about this host's own claim, in their order. */
+function recordEvents(task: ConductorTask): string[] {
+    const events: string[] = [];
+    for (const name of ["claimed", "lost", "released"] as const) {
+        task.events.on(name, () => void events.push(name));
+    }
+    return events;
+}
+
 describe("ConductorTask", () => {
     // Guards against a paused host that stops the valid conductor by a claim whose lease has passed.
     it("begins no term when the answer to its claim arrives after the lease, and stops no successor", async () => {
@@ -200,6 +209,63 @@
         expect(task.conductor).to.equal(other);
     });
 
+    // Guards against a conductor that does not follow ends of jobs, because the end of its last term stopped the watch.
+    it("loses no claim that it made while the answer to its resignation was on its way", async () => {
+        const { clock: stepping, store, createTask } = pausedFixture();
+        const { task } = createTask(self);
+        const events = recordEvents(task);
+        const first = task.lookUpClaim();
+        await stepping.advance(10);
+        await first;
+        store.resignationAnswerDelaysMs.push(500);
+        const stepDown = task.stepDown();
+        const second = task.lookUpClaim();
+        await stepping.advance(400);
+        await second;
+        expect(task.isConductor).to.equal(true);
+        await stepping.advance(200);
+        await stepDown;
+        expect(events.filter(event => event !== "released")).to.deep.equal(["claimed", "lost", "claimed"]);
+        expect([task.isSure, task.conductor]).to.deep.equal([true, self]);
+    });
+
+    it("keeps following a successor that it found while the answer to its resignation was on its way", async () => {
+        const { clock: stepping, store, createTask } = pausedFixture();
+        const [task, successor] = [createTask(self).task, createTask(other).task];
+        const claims = async (each: ConductorTask): Promise<void> => {
+            const lookup = each.lookUpClaim();
+            await stepping.advance(10);
+            await lookup;
+        };
+        await claims(task);
+        store.resignationAnswerDelaysMs.push(500);
+        const stepDown = task.stepDown();
+        await claims(successor);
+        await claims(task);
+        expect(task.conductor).to.equal(other);
+        await stepping.advance(500);
+        await stepDown;
+        expect(task.conductor).to.equal(other);
+    });
+
+    // Guards against followers that look the claim up while the store still shows the conductor that steps down.
+    it("releases its followers only after its resignation is written", async () => {
+        const { clock: stepping, store, createTask } = pausedFixture();
+        const { task } = createTask(self);
+        const events = recordEvents(task);
+        const lookup = task.lookUpClaim();
+        await stepping.advance(10);
+        await lookup;
+        store.resignationAnswerDelaysMs.push(100);
+        const stepDown = task.stepDown();
+        await stepping.advance(50);
+        expect(events).to.deep.equal(["claimed", "lost"]);
+        await stepping.advance(100);
+        await stepDown;
+        expect(events).to.deep.equal(["claimed", "lost", "released"]);
+        expect(task.conductor).to.equal(undefined);
+    });
+
     // Guards against orders of two hosts that take turns, when a claim's answer is lost and the claim is made again.
     it("waits with orders for those of an earlier conductor, also when it claims again over its own claim", async () => {
         const { clock: stepping, store, createTask } = pausedFixture();
--- a/packages/rollout/src/lib/ConductorTask.ts
+++ b/packages/rollout/src/lib/ConductorTask.ts
@@ -27,7 +27,10 @@
 /** Events of the claim; `conductor` carries the new conductor, or undefined when none is known. */
 export interface ConductorEvents {
     readonly claimed: undefined;
+    /** This host's term has ended; always before `claimed` of its next term. */
     readonly lost: undefined;
+    /** Other hosts may look for the next conductor: after `lost`, and when this host resigns, after the write to the store. */
+    readonly released: undefined;
     readonly conductor: HostId | undefined;
 }
 
@@ -253,6 +256,8 @@
         const { leaseLeftMs, lastOrderAgeMs } = this;
         const lastOrderAt = lastOrderAgeMs === undefined ? undefined : Date.now() - lastOrderAgeMs;
         this.term.end();
+        // While the write is on its way this host may claim again, and a later event would stop its new term's work.
+        void this.events.emit("lost");
         const record: ClaimRecord = { host: this.options.self, resigned: { lastOrderAt } };
         const res = await this.store.commit(
             {
@@ -263,8 +268,11 @@
             "conductor",
         );
         this.journal.log("conductor-resigned", { fence: claim.fence, leaseLeftMs, written: res.isRight() });
-        this.setConductor(undefined);
-        await this.events.emit("lost");
+        // Meanwhile this host may have claimed again or found a successor.
+        if (!this.isConductor && this.currentConductor === this.options.self) {
+            this.setConductor(undefined);
+        }
+        await this.events.emit("released");
     }
 
     private async claim(item: StoredItem | undefined, record: ClaimRecord | undefined): Promise<void> {
@@ -389,6 +397,7 @@
         this.term.end();
         this.setConductor(undefined);
         void this.events.emit("lost");
+        void this.events.emit("released");
     }
 
     /** Logs that `claim` is lost; `otherFence` is the fencing token of the claim that took its place, if it is known. */
--- a/packages/rollout/src/lib/LeaseStore.test.ts
+++ b/packages/rollout/src/lib/LeaseStore.test.ts
@@ -1,6 +1,6 @@
 /**
- * An in-memory store for tests whose leases end on a handed-in clock, and whose answers to a claim may be delayed, as for
- * a process that is paused between its write and the answer.
+ * An in-memory store for tests whose leases end on a handed-in clock, and whose answers to a claim or a resignation may be
+ * delayed, as for a process that is paused between its write and the answer.
  */
 
 import {
@@ -24,6 +24,8 @@
 export class LeaseStore extends MemoryTransactionalStore {
     /** Milliseconds by which the answer to each of the next claims is delayed. */
     readonly claimAnswerDelaysMs: number[] = [];
+    /** Milliseconds by which the answer to each of the next resignations is delayed. */
+    readonly resignationAnswerDelaysMs: number[] = [];
     private readonly deadlines = new Map<LeaseId, Instant>();
     private readonly leasedKeys = new Map<string, LeaseId>();
 
@@ -54,8 +56,9 @@
                 this.leasedKeys.delete(key);
             }
         }
-        const isClaim = commit.puts.some(({ key, lease }) => key === jobKeys.claim && lease !== undefined);
-        const delayMs = isClaim ? this.claimAnswerDelaysMs.shift() ?? 0 : 0;
+        const claim = commit.puts.find(({ key }) => key === jobKeys.claim);
+        const delays = claim?.lease === undefined ? this.resignationAnswerDelaysMs : this.claimAnswerDelaysMs;
+        const delayMs = claim === undefined ? 0 : delays.shift() ?? 0;
         if (delayMs > 0) {
             await sleepUntil(this.clock, after(this.clock.now(), delayMs));
         }
--- a/packages/rollout/src/lib/PullResponder.ts
+++ b/packages/rollout/src/lib/PullResponder.ts
@@ -134,13 +134,13 @@
             const offLimits = this.permits.onChange(() => finish());
             const offCrashes = this.crashes.onChange(() => finish());
             // All followers look for the next conductor at the same time, so that the preferred ones claim first.
-            const offLost = this.conductor.events.on("lost", () => finish());
+            const offReleased = this.conductor.events.on("released", () => finish());
             const cancel = this.clock.callAt(after(this.clock.now(), pullWaitMs), () => finish());
             const finish = (): void => {
                 off();
                 offLimits();
                 offCrashes();
-                offLost();
+                offReleased();
                 cancel();
                 resolve();
             };
