Close an ended job at once at the host that acknowledges the end

Seen: a host that acknowledged the end of a job went on to run the job's tasks until its own watch reported the end, up to several seconds later.

Cause: JobCallHandler.end closed the job only when this host ended it as a certain conductor. When the store or a conductor behind a relay ended it, the job stayed open here. This host may still run its tasks then: it conducts without being certain, or has lost the claim and knows no successor.

Change: after an answer that the job has ended, by whichever way, the job is closed if it is open here. A job that is not open is left alone, since close would remember its end, also at hosts that never conduct.

Evidence, JobCallHandler.test.ts (new). Before, "closes a job that the store ended while this host is not certain to conduct", "closes a job that the store ended after this host lost the claim" and "closes a job that a conductor ended whom only another host reaches" failed alike: AssertionError: expected [ 'j' ] to deeply equal [] "remembers no end of a job that was not open at this host" passes before and after.

--- a/packages/rollout/src/lib/JobCallHandler.ts
+++ b/packages/rollout/src/lib/JobCallHandler.ts
@@ -143,7 +143,13 @@
         const res = this.conductor.isConductor
             ? await this.endLocally(job, organisation)
             : await this.requestFromConductor("job-end", { job, organisation }, peerAnswerMarginMs);
-        return res.isRight() ? res : this.stored.end(job, organisation);
+        const end = res.isRight() ? res : await this.stored.end(job, organisation);
+        // This host may still run the job: it conducts without being certain, or lost the claim and knows no successor.
+        const hasEnded = end.map(answer => "ended" in answer).orDefault(false);
+        if (hasEnded && this.registry.scheduler.get(job) !== undefined) {
+            this.registry.close(job);
+        }
+        return end;
     }
 
     private async submitToConductorOrStore(
