--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -14,6 +14,7 @@
     type JobTerms,
     type OpenJob,
     type OrganisationId,
+    sendDeadlineOf,
     sleepUntil,
     type TaskResult,
     type TaskRun,
@@ -73,7 +74,8 @@
         JobId,
         { readonly knownAt: Instant; readonly organisation: OrganisationId | undefined; }
     >();
-    private readonly opening = new Set<JobId>();
+    /** Jobs that are being opened. Each term has its own set, as openings end with the term in which they began. */
+    private opening = new Set<JobId>();
     /** Results from a previous conductor, for jobs that are not open here yet. */
     private readonly inherited = new Map<JobId, TaskResult[]>();
     /** Stored jobs that match no known route yet. */
@@ -113,6 +115,9 @@
         this.scheduler.open.forEach(open => void this.events.emit("stopped", this.scheduler.remove(open.job.id)));
         this.ended.clear();
         this.endedUnopened.clear();
+        // What it vouches for has just been dropped.
+        this.endsKnownUntil = undefined;
+        this.opening = new Set();
         this.unroutable.clear();
         this.inherited.clear();
     }
@@ -149,10 +154,12 @@
             return;
         }
         this.unroutable.delete(job.id);
-        this.opening.add(job.id);
+        const { opening } = this;
+        opening.add(job.id);
         try {
             const log = isNew ? new JobLog() : await this.readLog(job.id);
-            if (!this.canOpen || this.hasEnded(job.id)) {
+            // The end of a job that was known in an earlier term may be forgotten in this one.
+            if (!this.canOpen || opening !== this.opening || this.hasEnded(job.id)) {
                 return;
             }
             (this.inherited.get(job.id) ?? []).forEach(result => log.add(result));
@@ -170,7 +177,7 @@
             await this.events.emit("opened", open);
         }
         finally {
-            this.opening.delete(job.id);
+            opening.delete(job.id);
         }
     }
 
@@ -187,7 +194,10 @@
             open.terms = this.options.termsOf(open.job) ?? open.terms;
         }
         for (const job of [...this.unroutable.values()]) {
-            await this.open(job, false);
+            // The job may have ended while the ones before it were opened, and its end may be forgotten by now.
+            if (this.unroutable.get(job.id) === job) {
+                await this.open(job, false);
+            }
         }
     }
 
@@ -209,9 +219,23 @@
             && now - this.endsKnownUntil <= this.options.settings.maxUnknownEndMs;
     }
 
-    /** Whether the store answered the last call; other hosts cannot end jobs in a store that does not answer. */
-    get isStoreReachable(): boolean {
-        return this.jobs.isReachable;
+    /** Milliseconds since the time until which all ends of jobs in the store are known here; undefined before the first read. */
+    endsAgeMs(now: Instant): number | undefined {
+        return this.endsKnownUntil === undefined ? undefined : now - this.endsKnownUntil;
+    }
+
+    /** Until when tasks may be sent to engines, as far as is known now; undefined if they may not be. */
+    get sendDeadline(): Instant | undefined {
+        return sendDeadlineOf(
+            { knownUntil: this.endsKnownUntil, lastOutageAt: this.jobs.lastOutageAt },
+            this.options.settings.maxUnknownEndMs,
+        );
+    }
+
+    /** Milliseconds since the store is known to have been unavailable to this host. */
+    outageAgeMs(now: Instant): number | undefined {
+        const { lastOutageAt } = this.jobs;
+        return lastOutageAt === undefined ? undefined : now - lastOutageAt;
     }
 
     hasEnded(job: JobId): boolean {
@@ -302,7 +326,7 @@
         }
     }
 
-    /** Drops ended jobs from memory after `endedJobTtlMs`. */
+    /** Drops ended jobs from memory after `endedJobTtlMs`; the end of a job that is still being opened is kept. */
     dropEndedFromMemory(): void {
         const now = this.clock.now();
         for (const [job, { endedAt }] of this.ended) {
@@ -311,7 +335,8 @@
             }
         }
         for (const [job, { knownAt }] of this.endedUnopened) {
-            if (now - knownAt > endedJobTtlMs) {
+            // Reading the results of a job may take any time, and a job whose end is forgotten meanwhile is opened.
+            if (now - knownAt > endedJobTtlMs && !this.opening.has(job)) {
                 this.endedUnopened.delete(job);
             }
         }
@@ -340,9 +365,11 @@
         void this.events.emit("listed", open.job.id);
     }
 
+    /** Reads the listed results of a job; incomplete when the term ends before the store answers. */
     private async readLog(job: JobId): Promise<JobLog> {
         const log = new JobLog();
-        while (this.isActive) {
+        const { opening } = this;
+        while (this.isActive && opening === this.opening) {
             const chunks = (await this.jobs.results(job)).toMaybe().extract();
             if (chunks !== undefined) {
                 chunks.forEach(chunk => log.adopt(chunk));
