Open the stored jobs of a new conductor two at a time

A host that began to conduct read the parts and results of all open jobs at once: up to a megabyte each, over one slow link and a third of a core. None arrived within its time limit of 1.5 s, all were read again, and the watch, the renewals of the claim and the reads of the live keys failed beside them. Jobs are now opened two at a time.

A job that ends while it waits is not opened. A read of a job's parts that fails is repeated: the watch reports a job once, and since whole reads no longer wait for openings, a second whole read skipped a job whose first read then failed. The tests of that failed before with "expected [] to deeply equal [ 'j' ]".

--- a/packages/rollout/src/lib/ConductorTask.test.ts
+++ b/packages/rollout/src/lib/ConductorTask.test.ts
@@ -14,16 +14,20 @@
     type StoredItem,
     type StoreLease,
     type TransactionalStore,
+    type ZoneId,
 } from "@tamarackpath/core";
 import { expect } from "chai";
 import { pack, unpack } from "msgpackr";
 import { type Either, Left, Right } from "purify-ts";
 import { ConductorTask } from "./ConductorTask.js";
+import { HostView } from "./HostView.js";
 import { noopJournal } from "./Journal.js";
 import { LeaseStore } from "./LeaseStore.test.js";
 import { MemoryTransactionalStore } from "./MemoryStore.test.js";
+import { crashGuardFixture, permitsFixture } from "./permitsFixtures.test.js";
+import { PullResponder } from "./PullResponder.js";
 import { defaultRolloutSettings } from "./RolloutSettings.js";
-import { createSteppingClock, type SteppingClock } from "./steppingClock.test.js";
+import { createSteppingClock, settle, type SteppingClock } from "./steppingClock.test.js";
 
 const clock = createMonotonicClock();
 const self = asId<HostId>("self");
@@ -249,19 +253,34 @@
     });
 
     // Guards against followers that look the claim up while the store still shows the conductor that steps down.
-    it("releases its followers only after its resignation is written", async () => {
+    it("answers waiting pulls of its followers only after its resignation is written", async () => {
         const { clock: stepping, store, createTask } = pausedFixture();
         const { task } = createTask(self);
         const events = recordEvents(task);
         const lookup = task.lookUpClaim();
         await stepping.advance(10);
         await lookup;
+        const view = new HostView(stepping, noopJournal);
+        const permits = permitsFixture(undefined, stepping);
+        const crashes = crashGuardFixture(undefined, stepping);
+        const pulls = new PullResponder(() => [], view, task, permits, crashes, stepping);
+        const pull = {
+            have: view.revision,
+            haveFence: task.term.currentClaim!.fence,
+            zone: asId<ZoneId>("z"),
+            hasCallers: true,
+        };
+        let isAnswered = false;
+        void pulls.answer(pull, other).then(() => isAnswered = true);
         store.resignationAnswerDelaysMs.push(100);
         const stepDown = task.stepDown();
         await stepping.advance(50);
         expect(events).to.deep.equal(["claimed", "lost"]);
+        expect(isAnswered).to.equal(false);
         await stepping.advance(100);
         await stepDown;
+        await settle();
+        expect(isAnswered).to.equal(true);
         expect(events).to.deep.equal(["claimed", "lost", "released"]);
         expect(task.conductor).to.equal(undefined);
     });
--- a/packages/rollout/src/lib/LiveKeyWatch.test.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.test.ts
@@ -18,7 +18,7 @@
 } from "@tamarackpath/core";
 import { expect } from "chai";
 import { pack } from "msgpackr";
-import { type Either, Right } from "purify-ts";
+import { type Either, Left, Right } from "purify-ts";
 import { type ConductorTask } from "./ConductorTask.js";
 import { type RegistryFixture, registryFixture } from "./jobRegistryFixtures.test.js";
 import { engineJobFixture } from "./jobRunnerFixtures.test.js";
@@ -46,6 +46,12 @@
 /** A store whose watches report changes, and which does not answer reads under the prefixes in `unanswered`. */
 class WatchedStore extends MemoryTransactionalStore {
     readonly unanswered = new Set<string>();
+    /** Prefixes whose reads fail. */
+    readonly failing = new Set<string>();
+    /** Number of the next watches that fail. */
+    failingWatches = 0;
+    /** Number of reads that were held back, whether answered by now or not. */
+    heldReads = 0;
     private readonly written: { readonly revision: KeyRevision; readonly change: StoredChange; }[] = [];
 
     private readonly heldBack = new Map<string, Promise<void>>();
@@ -64,11 +70,16 @@
     override async range(prefix: string): Promise<Either<KeyValueFailure, StoredRange>> {
         const held = this.heldBack.get(prefix);
         if (held !== undefined) {
-            const res = await super.range(prefix);
+            this.heldReads++;
+            const res = await this.read(prefix);
             await held;
             return res;
         }
-        return this.unanswered.has(prefix) ? new Promise(() => undefined) : super.range(prefix);
+        return this.unanswered.has(prefix) ? new Promise(() => undefined) : this.read(prefix);
+    }
+
+    private async read(prefix: string): Promise<Either<KeyValueFailure, StoredRange>> {
+        return this.failing.has(prefix) ? Left({ applied: "no", detail: "failing" }) : super.range(prefix);
     }
 
     override async commit(commit: Commit): Promise<Either<KeyValueFailure, CommitResult>> {
@@ -88,6 +99,10 @@
         since = 0 as KeyRevision,
     ): Promise<Either<KeyValueFailure, StoredChanges>> {
         await sleepUntil(this.clock, this.clock.now() + watchDelayMs as Instant);
+        if (this.failingWatches > 0) {
+            this.failingWatches--;
+            return Left({ applied: "no", detail: "failing" });
+        }
         const newer = this.written.filter(({ revision, change }) => revision > since && change.key.startsWith(prefix));
         const asOf = Math.max(since, ...newer.map(({ revision }) => revision)) as KeyRevision;
         return Right({ kind: "changes", changes: newer.map(({ change }) => change), asOf });
@@ -186,4 +201,60 @@
         expect(openIds()).to.deep.equal([]);
         watch.deactivate();
     });
+
+    // Guards against a new conductor that reads the results of all jobs at once, so slowly that none arrive in time.
+    it("opens a few jobs at a time, and none of those that end while they wait", async () => {
+        const clock = createSteppingClock(0);
+        const { store, openIds, watch, keep, end } = watchFixture(new WatchedStore(clock), clock);
+        const ids = ["a", "b", "c", "d", "e"];
+        for (const id of ids) {
+            await keep(id);
+        }
+        const answers = ids.map(id => store.holdBack(jobKeys.resultsPrefix(asId<JobId>(id))));
+        watch.activate();
+        await settle();
+        expect(store.heldReads).to.equal(2);
+        await end("c");
+        await clock.advance(2 * watchDelayMs);
+        for (const answer of answers) {
+            answer();
+            await settle();
+        }
+        expect(openIds()).to.deep.equal(["a", "b", "d", "e"]);
+        watch.deactivate();
+    });
+
+    // Guards against a job whose tasks never run, because one read of its parts failed while the watch went on.
+    it("opens a job whose parts could not be read at first", async () => {
+        const clock = createSteppingClock(0);
+        const { store, openIds, watch, keepLarge } = watchFixture(new WatchedStore(clock), clock);
+        await keepLarge("j");
+        const prefix = jobKeys.partsPrefix(asId<JobId>("j"));
+        store.failing.add(prefix);
+        watch.activate();
+        await settle();
+        store.failing.delete(prefix);
+        await clock.advance(2000);
+        expect(openIds()).to.deep.equal(["j"]);
+        watch.deactivate();
+    });
+
+    // Guards against a repeated read of the range that skips a job whose first reading is about to fail.
+    it("opens a job whose parts are read in vain while the range is read again", async () => {
+        const clock = createSteppingClock(0);
+        const { store, openIds, watch, keepLarge } = watchFixture(new WatchedStore(clock), clock);
+        await keepLarge("j");
+        const prefix = jobKeys.partsPrefix(asId<JobId>("j"));
+        const answer = store.holdBack(prefix);
+        store.failing.add(prefix);
+        store.failingWatches = 1;
+        watch.activate();
+        await settle();
+        await clock.advance(1000);
+        store.failing.delete(prefix);
+        answer();
+        await clock.advance(2000);
+        expect(openIds()).to.deep.equal(["j"]);
+        watch.deactivate();
+    });
 });
--- a/packages/rollout/src/lib/LiveKeyWatch.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.ts
@@ -29,11 +29,28 @@
 /** Milliseconds after a failure before the range is read again. */
 const rereadDelayMs = 200;
 
+/**
+ * Upper limit of the jobs that are opened at a time. Their results are up to a megabyte each; read all at once by a host with a
+ * third of a core and a slow link, none of them arrives within its time limit, and all are read again.
+ */
+const maxConcurrentOpenings = 2;
+
+/** The jobs that are opened for one generation of the watch. */
+interface Openings {
+    /** Jobs that wait or are being opened, so that a repeated read of the range does not open them again. */
+    readonly jobs: Set<JobId>;
+    readonly waiting: StoredItem[];
+    running: number;
+}
+
+function createOpenings(): Openings {
+    return { jobs: new Set(), waiting: [], running: 0 };
+}
+
 /** Applies changes of the live keys to the conductor's claim and jobs. */
 export class LiveKeyWatch {
     private generation = 0;
-    /** Jobs that are being opened for the current generation, so that a repeated read of the range does not read them again. */
-    private opening = new Set<JobId>();
+    private openings = createOpenings();
 
     constructor(
         private readonly store: TransactionalStore,
@@ -46,12 +63,13 @@
 
     activate(): void {
         this.generation++;
-        this.opening = new Set();
+        this.openings = createOpenings();
         void this.loop(this.generation);
     }
 
     deactivate(): void {
         this.generation++;
+        this.openings = createOpenings();
     }
 
     private async loop(generation: number): Promise<void> {
@@ -84,7 +102,7 @@
         const ended = range.items.filter(({ key }) => key.startsWith(jobKeys.endedPrefix));
         ended.forEach(item => this.closeEnded(item));
         this.registry.recordEndsKnown(startedAt);
-        this.openBeside(open);
+        this.openInBackground(open);
         void this.registry.removeEndedFromStore(
             ended.map(item => ({
                 job: jobOf(item.key, jobKeys.endedPrefix),
@@ -109,7 +127,7 @@
             }
         }
         this.registry.recordEndsKnown(startedAt);
-        this.openBeside(
+        this.openInBackground(
             seen.changes.flatMap(({ key, item }) =>
                 key.startsWith(jobKeys.openPrefix) && item !== undefined ? [item] : []
             ),
@@ -118,35 +136,61 @@
     }
 
     private closeEnded({ key, value }: StoredItem): void {
-        this.registry.close(jobOf(key, jobKeys.endedPrefix), (unpack(value) as EndedJob).organisation);
+        const job = jobOf(key, jobKeys.endedPrefix);
+        // The registry remembers the end of a job for a limited time only, and this one may wait for longer.
+        const waiting = this.openings.waiting.findIndex(item => jobOf(item.key, jobKeys.openPrefix) === job);
+        if (waiting >= 0) {
+            this.openings.waiting.splice(waiting, 1);
+            this.openings.jobs.delete(job);
+        }
+        this.registry.close(job, (unpack(value) as EndedJob).organisation);
     }
 
     /**
      * Opens stored jobs while the watch goes on. Reading a job's parts and results takes any time, in which ends of other
      * jobs would stay unknown.
      */
-    private openBeside(items: readonly StoredItem[]): void {
-        const { opening } = this;
+    private openInBackground(items: readonly StoredItem[]): void {
+        const { openings } = this;
         for (const item of items) {
             const job = jobOf(item.key, jobKeys.openPrefix);
-            if (this.registry.has(job) || opening.has(job)) {
-                continue;
+            if (!this.registry.has(job) && !openings.jobs.has(job)) {
+                openings.jobs.add(job);
+                openings.waiting.push(item);
             }
-            opening.add(job);
-            void this.openStored(item)
-                .catch((err: unknown) =>
-                    this.journal.log("unexpected-error", { loop: "open a job", detail: String(err) })
-                )
-                .finally(() => opening.delete(job));
         }
+        while (openings.running < maxConcurrentOpenings && openings.waiting.length > 0) {
+            void this.openWaiting(openings);
+        }
+    }
+
+    /** Opens the waiting jobs one after the other. */
+    private async openWaiting(openings: Openings): Promise<void> {
+        openings.running++;
+        for (let item = openings.waiting.shift(); item !== undefined; item = openings.waiting.shift()) {
+            try {
+                await this.openStored(item, openings);
+            }
+            catch (err) {
+                this.journal.log("unexpected-error", { loop: "open a job", detail: String(err) });
+            }
+            openings.jobs.delete(jobOf(item.key, jobKeys.openPrefix));
+        }
+        openings.running--;
     }
 
-    private async openStored(item: StoredItem): Promise<void> {
-        const { generation } = this;
-        const job = (await this.jobs.readOpen(item)).toMaybe().extract();
-        // A job that was requested for an earlier generation may have ended since; the current one reads the range itself.
-        if (job !== undefined && generation === this.generation) {
-            await this.registry.open(job, false);
+    /** Opens a job once its parts can be read, unless it has ended or belongs to an earlier generation by then. */
+    private async openStored(item: StoredItem, openings: Openings): Promise<void> {
+        while (openings === this.openings) {
+            const read = await this.jobs.readOpen(item);
+            const job = read.toMaybe().extract();
+            if (job !== undefined && openings === this.openings) {
+                await this.registry.open(job, false);
+            }
+            if (read.isRight()) {
+                return;
+            }
+            await sleepUntil(this.clock, after(this.clock.now(), rereadDelayMs));
         }
     }
 }
