Take no call that was given up for an outage of the store

The review showed a conductor that starts tasks of ended jobs without end at a sound store: the host's link delays each answer by 900 ms, the renewals are carried out and given up after 800 ms, and each counted as silence, since the connection was closed before its answer came (lastOutageAt was 1,049 ms old). Only a 503, a refused connection, and a connection that does not open within its second show an outage now, the last one if nothing else came meanwhile; an open connection counts as contact. The test of such answers failed before: the outage was 1,049 ms old, expected undefined.

Remaining: a request for a connection that a sound store answers after more than a second.

--- a/packages/core/src/lib/jobs/sendDeadlineOf.ts
+++ b/packages/core/src/lib/jobs/sendDeadlineOf.ts
@@ -6,13 +6,13 @@
 
 import { after, type Instant } from "../ids.js";
 
-/** What a host knows of the ends of jobs in the store. */
+/** What is known at a host of the ends of jobs in the store. */
 export interface KnownEnds {
     /** A time until which all ends are known; undefined before the first read. */
     readonly knownUntil: Instant | undefined;
     /**
      * The latest time at which the store is known to have been unavailable to this host: no host can end a job in a store
-     * that is out for all, and one that turns this host away gives its claim to another within the claim's lifetime.
+     * that is out for all, and one that refuses this host alone gives its claim to another within the claim's lifetime.
      */
     readonly lastOutageAt: Instant | undefined;
 }
--- a/packages/core/src/lib/keyvalue/OutageDetector.ts
+++ b/packages/core/src/lib/keyvalue/OutageDetector.ts
@@ -1,27 +1,14 @@
 /**
- * Distinguishes an outage of a service from calls that failed by this process's own doing. Load: a process that has more
- * to do than its processor allows, or whose link is full of large answers, gives up calls that the service has answered,
- * while other hosts reach the service all the time.
+ * Distinguishes an outage of a service from calls that failed for a reason of this host. Load: a process that has more to
+ * do than its processor allows, or whose link is full, gives up calls that the service carries out, while other hosts
+ * reach the service all the time. A call that was given up therefore shows nothing.
  */
 
 import { type Instant } from "../ids.js";
 
-/**
- * Milliseconds after an answer was due for which the service must have been silent: above the 240 ms that the platform's
- * store takes when it is slowed by a factor of sixty.
- */
-const minSilenceMs = 400;
-
-/** A call that was sent and has no answer, after everything that had arrived was read. */
-export interface UnansweredCall {
-    readonly sentAt: Instant;
-    /** When the service would have answered at the latest: `sentAt`, or the end of the wait that the call asked for. */
-    readonly dueAt: Instant;
-}
-
 /** Keeps when a service was last unavailable to this host. */
 export class OutageDetector {
-    private heardAt = -Infinity as Instant;
+    private contactAt = -Infinity as Instant;
     private outageAt: Instant | undefined;
 
     /** The latest time at which the service is known to have been unavailable to this host; undefined if it never was. */
@@ -29,20 +16,23 @@
         return this.outageAt;
     }
 
-    /** Records that bytes of an answer to any call arrived. */
-    recordBytes(now: Instant): void {
-        this.heardAt = now;
+    /** Records that bytes of the service arrived, or that a connection to it is open. */
+    recordContact(now: Instant): void {
+        this.contactAt = now;
     }
 
-    /** Records that the service said that it is unavailable, or refused a connection, after it was asked at `sentAt`. */
-    recordRefusal(sentAt: Instant): void {
-        this.recordOutage(sentAt);
+    /** Records that the service said that it is unavailable, or refused a connection, after it was asked at `askedAt`. */
+    recordRefusal(askedAt: Instant): void {
+        this.recordOutage(askedAt);
     }
 
-    /** Records a call without an answer. It shows an outage only if no call was answered since it was sent. */
-    recordSilence({ sentAt, dueAt }: UnansweredCall, now: Instant): void {
-        if (now - dueAt >= minSilenceMs && this.heardAt < sentAt) {
-            this.recordOutage(sentAt);
+    /**
+     * Records that a connection that was requested at `askedAt` did not open within its time limit. It shows an outage only
+     * if there was no contact since then.
+     */
+    recordNoConnection(askedAt: Instant): void {
+        if (this.contactAt < askedAt) {
+            this.recordOutage(askedAt);
         }
     }
 
