Notice in a late process, too, that tasks are not held back any more

Starts that were held back go on at the next check of the runs, unless a new end becomes known first. A process whose checks are all late returned before that, so that in an outage of the store it started nothing more, although an outage lifts the hold. Found by the review, by reading. The field that now only limits a log line is named after that.

--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -246,13 +246,13 @@
         const nextAt = after(now, moveIntervalMs);
         // The next check is scheduled first, so that an unexpected error in this one does not end them.
         this.cancelMoves = this.clock.callAt(nextAt, () => this.moveRuns(nextAt));
+        if (this.hold.wasHeld) {
+            this.dispatch();
+        }
         if (this.hold.recordCheckDelay(dueAt, now, this.running.size)) {
             // Events that arrived meanwhile have not been read, so no run counts as silent or slow.
             return;
         }
-        if (this.hold.wasHeld) {
-            this.dispatch();
-        }
         const engines = this.capacities.all();
         // Runs are upgraded only if no task waits for the slots.
         this.mover.moveRuns(engines, this.hasWaiting ? [] : this.scheduler.open, now);
--- a/packages/rollout/src/lib/StartHold.ts
+++ b/packages/rollout/src/lib/StartHold.ts
@@ -15,7 +15,7 @@
 
 /** Decides until when tasks may be sent. */
 export class StartHold {
-    private lateUntil = 0 as Instant;
+    private lateLoggedUntil = 0 as Instant;
     private wasHeldLast = false;
 
     constructor(private readonly registry: JobRegistry, private readonly journal: Journal) {}
@@ -49,10 +49,10 @@
      */
     recordCheckDelay(dueAt: Instant, now: Instant, running: number): boolean {
         if (now - dueAt > maxCheckDelayMs) {
-            if (now >= this.lateUntil) {
+            if (now >= this.lateLoggedUntil) {
                 this.journal.log("process-late", { ms: now - dueAt, running });
             }
-            this.lateUntil = after(now, lateLogIntervalMs);
+            this.lateLoggedUntil = after(now, lateLogIntervalMs);
             return true;
         }
         return false;
