Start no task of a job whose end was requested, whether or not it is written

The conductor now starts no task of the job from the request on and repeats the write until the job is closed. A host that is not certain to conduct does the same beside the store's answer.

--- a/packages/core/src/lib/jobs/JobScheduler.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.ts
@@ -70,6 +70,8 @@
     readonly running: Set<TaskRun>;
     /** Tasks whose text is complete and whose score is missing, in the order in which their texts were completed. */
     readonly scoring: Set<TaskRun>;
+    /** Whether its end was requested, so that none of its tasks starts any more. */
+    isEnding: boolean;
     /** Mean of the tokens that its tasks are expected to take. */
     readonly meanTokens: number;
 }
@@ -132,6 +134,7 @@
             waiting: [],
             running: new Set(),
             scoring: new Set(),
+            isEnding: false,
             meanTokens: expected / Math.max(1, job.tasks.length),
         };
         for (const task of orderTasks(job)) {
@@ -248,7 +251,8 @@
         now: Instant,
         listed: (service: ServiceId) => ReadonlySet<SoftwareVersion> = () => new Set(),
     ): TaskAssignment | undefined {
-        const jobs = [...this.jobs.values()].sort((a, b) => a.terms.dueAt - b.terms.dueAt);
+        const jobs = [...this.jobs.values()].filter(({ isEnding }) => !isEnding)
+            .sort((a, b) => a.terms.dueAt - b.terms.dueAt);
         for (const open of jobs) {
             const available = engines.filter(engine => engine.running < engine.slots && canServe(engine, open));
             if (available.length === 0) {
--- a/packages/rollout/src/lib/JobCallHandler.ts
+++ b/packages/rollout/src/lib/JobCallHandler.ts
@@ -264,8 +264,12 @@
         if (!this.isOpenTo(job, organisation)) {
             return this.deny(organisation);
         }
-        const hasEnded = this.conductor.isSure && await this.registry.end(job);
-        return hasEnded ? Right({ ended: true }) : Left(notConductor);
+        if (!this.conductor.isSure) {
+            // The store decides, but this host may still run the job's tasks.
+            void this.registry.end(job);
+            return Left(notConductor);
+        }
+        return await this.registry.end(job) ? Right({ ended: true }) : Left(notConductor);
     }
 
     private async requestFromConductor<Name extends JobRequestName>(
--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -58,6 +58,9 @@
 /** Milliseconds between attempts to read results from the store. */
 const readRetryDelayMs = 150;
 
+/** Milliseconds between attempts to write the end mark of a job. */
+const endRetryDelayMs = 500;
+
 /** Milliseconds for which an ended job's results stay in memory. */
 const endedJobTtlMs = 20_000;
 
@@ -273,19 +276,41 @@
             : { log: open.log, total: open.job.tasks.length, organisation: open.job.organisation };
     }
 
-    /** Ends a job; true once the store holds its end mark. */
+    /**
+     * Ends a job; true once the store holds its end mark. No task of the job starts from this call on: if the mark cannot be
+     * written now, the write is repeated, as the end counts as acknowledged some seconds after it was requested.
+     */
     async end(id: JobId): Promise<boolean> {
         const open = this.scheduler.get(id);
         if (open === undefined) {
             return this.hasEnded(id);
         }
+        const isRepeated = open.isEnding;
+        open.isEnding = true;
+        const hasEnded = await this.writeEnd(open);
+        if (!hasEnded && !isRepeated) {
+            void this.repeatEnd(open);
+        }
+        return hasEnded;
+    }
+
+    private async writeEnd(open: OpenJob): Promise<boolean> {
         const { job } = open;
-        const res = await this.jobs.end(id, job.tasks.length, partsOf(job), job.organisation);
-        if (res.isLeft()) {
-            return false;
+        const res = await this.jobs.end(job.id, job.tasks.length, partsOf(job), job.organisation);
+        if (res.isRight() && this.scheduler.get(job.id) === open) {
+            this.close(job.id, job.organisation);
+        }
+        return res.isRight();
+    }
+
+    /** Repeats the write of an end mark until the job is closed here, by this write or by another host's. */
+    private async repeatEnd(open: OpenJob): Promise<void> {
+        while (this.scheduler.get(open.job.id) === open) {
+            await sleepUntil(this.clock, after(this.clock.now(), endRetryDelayMs));
+            if (this.scheduler.get(open.job.id) === open) {
+                await this.writeEnd(open);
+            }
         }
-        this.close(id, job.organisation);
-        return true;
     }
 
     /**
--- a/packages/rollout/src/lib/lateTaskStarts.test.ts
+++ b/packages/rollout/src/lib/lateTaskStarts.test.ts
@@ -4,7 +4,10 @@
 import {
     asId,
     type Clock,
+    type Commit,
+    type CommitResult,
     type JobId,
+    jobKeys,
     type KeyValueFailure,
     type StoredChanges,
     type StoredRange,
@@ -49,6 +52,16 @@
     }
 }
 
+/** A store whose rate limit refuses the end marks of jobs. */
+class LimitedStore extends FleetStore {
+    isLimited = true;
+
+    override async commit(commit: Commit): Promise<Either<KeyValueFailure, CommitResult>> {
+        const isEnd = commit.puts.some(({ key }) => key.startsWith(jobKeys.endedPrefix));
+        return isEnd && this.isLimited ? Left(failure) : super.commit(commit);
+    }
+}
+
 describe("Tasks of a job that another host ends in the store", () => {
     let fleet: Fleet;
 
@@ -77,3 +90,33 @@
         expect(runs.filter(({ at }) => at - endedAt > cancelMs).length, "late runs").to.equal(0);
     });
 });
+
+describe("Tasks of a job whose end is requested", () => {
+    let fleet: Fleet;
+
+    afterEach(() => fleet.stop());
+
+    // Guards against tasks that run although the caller ended the job, since the store did not take the end.
+    it("do not start while the end cannot be written, which is repeated until it is", async () => {
+        const store = new LimitedStore(clock);
+        fleet = await startFleet(clock, {
+            hosts: 2,
+            targets: [targetFixture("a", engineService)],
+            behaviour: () => ({ ms: 100, rateLimit: { kind: "none" } }),
+            store,
+        });
+        expect(await fleet.submit(fleetJobFixture("job", 400))).to.equal("kept");
+        await fleet.pause(300);
+        const follower = fleet.hosts.find(host => host !== fleet.conductor())!;
+        const askedAt = clock.now();
+        expect((await follower.jobCalls.end(asId<JobId>("job"))).isLeft()).to.equal(true);
+        await fleet.pause(cancelMs + 1000);
+        const late = fleet.arrivals.filter(({ path, at }) => path === "run" && at - askedAt > cancelMs);
+        expect(late.length, "late runs").to.equal(0);
+        store.isLimited = false;
+        await fleet.pause(1000);
+        const page = (await follower.jobCalls.read(asId<JobId>("job"), 0, 0)).unsafeCoerce();
+        expect(page).to.include({ total: 400 });
+        expect(await fleet.submit(fleetJobFixture("job", 400))).to.equal("ended");
+    });
+});
