--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -118,7 +118,7 @@
         this.scheduler.open.forEach(open => void this.events.emit("stopped", this.scheduler.remove(open.job.id)));
         this.ended.clear();
         this.endedUnopened.clear();
-        // What it vouches for has just been dropped.
+        // It says something about the ends that have just been dropped.
         this.endsKnownUntil = undefined;
         this.opening = new Set();
         this.unroutable.clear();
--- a/packages/rollout/src/lib/JobRunner.test.ts
+++ b/packages/rollout/src/lib/JobRunner.test.ts
@@ -83,6 +83,24 @@
         runner.deactivate();
     });
 
+    // Guards against a late process that starts nothing in an outage of the store, which lifts the hold without an event.
+    it("starts tasks that were held back also when its own checks are late", async () => {
+        const clock = createSteppingClock(0.01);
+        const { runner, runs, setSendDeadline } = jobRunnerFixture(clock, ["a"], 1);
+        setSendDeadline(undefined);
+        runner.activate();
+        await settled();
+        expect(runs.length).to.equal(0);
+        setSendDeadline(after(clock.now(), 60_000), true);
+        for (let nth = 0; nth < 6; nth++) {
+            clock.pass(1000);
+            clock.runNextTimer(-1000);
+            await settled();
+        }
+        expect(runs.length).to.equal(1);
+        runner.deactivate();
+    });
+
     // Guards against a task that is lost, or an engine that rests, because the request was not sent in time.
     it("runs a task that was not sent in time once more, also at the same engine", async () => {
         const clock = createSteppingClock(0.01);
--- a/packages/rollout/src/lib/jobRunnerFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRunnerFixtures.test.ts
@@ -61,8 +61,8 @@
     /** The rejected events: what was expected, and what came. */
     readonly rejected: (readonly [unknown, unknown])[];
     readonly entries: readonly TargetEntryView[];
-    /** Sets until when tasks may be sent, as far as this host knows. */
-    readonly setSendDeadline: (deadline: Instant | undefined) => void;
+    /** Sets until when tasks may be sent; without an event, as when the store is known to be out, if `isSilent`. */
+    readonly setSendDeadline: (deadline: Instant | undefined, isSilent?: boolean) => void;
 }
 
 export function engineEntryFixture(
@@ -207,9 +207,11 @@
         journal,
     );
     scheduler.add(engineJobFixture("j", tasks, expectedTokens), engineTermsFixture, new JobLog());
-    const setSendDeadline = (deadline: Instant | undefined): void => {
+    const setSendDeadline = (deadline: Instant | undefined, isSilent = false): void => {
         state.sendDeadline = deadline;
-        void registry.events.emit("endsKnown");
+        if (!isSilent) {
+            void registry.events.emit("endsKnown");
+        }
     };
     return { runner, permits, scheduler, view, runs, results, rejected, entries, setSendDeadline };
 }
