Open the next job although the one before cannot be opened

The next one is opened after 3 s. The test failed without that: "expected [] to deeply equal [ 'c' ]".

--- a/packages/rollout/src/lib/LiveKeyWatch.test.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.test.ts
@@ -282,4 +282,18 @@
         }
         watch.deactivate();
     });
+
+    // Guards against jobs that are never run because the results of a few others cannot be read.
+    it("opens a job although the ones before it cannot be opened", async () => {
+        const clock = createSteppingClock(0);
+        const { store, openIds, watch, keep } = watchFixture(new WatchedStore(clock), clock);
+        for (const id of ["a", "b", "c"]) {
+            await keep(id);
+        }
+        ["a", "b"].forEach(id => store.unanswered.add(jobKeys.resultsPrefix(asId<JobId>(id))));
+        watch.activate();
+        await clock.advance(4000);
+        expect(openIds()).to.deep.equal(["c"]);
+        watch.deactivate();
+    });
 });
--- a/packages/rollout/src/lib/LiveKeyWatch.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.ts
@@ -36,6 +36,9 @@
  */
 const maxConcurrentOpenings = 2;
 
+/** Milliseconds after which the next job is opened although the one before is not open yet, as when its results cannot be read. */
+const openingWaitMs = 3000;
+
 /** The jobs that are opened for one generation of the watch. */
 interface Openings {
     /** Jobs that wait or are being opened, so that a repeated read of the range does not open them again. */
@@ -169,17 +172,19 @@
         }
     }
 
-    /** Opens the waiting jobs one after the other. */
+    /** Opens the waiting jobs one after the other; a job that takes long to open does not hold up the others. */
     private async openWaiting(openings: Openings): Promise<void> {
         openings.running++;
         for (let item = openings.waiting.shift(); item !== undefined; item = openings.waiting.shift()) {
-            try {
-                await this.openStored(item, openings);
-            }
-            catch (err) {
-                this.journal.log("unexpected-error", { loop: "open a job", detail: String(err) });
-            }
-            openings.jobs.delete(jobOf(item.key, jobKeys.openPrefix));
+            const done = new AbortController();
+            const opened = this.openStored(item, openings)
+                .catch((err: unknown) =>
+                    this.journal.log("unexpected-error", { loop: "open a job", detail: String(err) })
+                )
+                .finally(() => done.abort());
+            const job = jobOf(item.key, jobKeys.openPrefix);
+            void opened.then(() => openings.jobs.delete(job));
+            await sleepUntil(this.clock, after(this.clock.now(), openingWaitMs), done.signal);
         }
         openings.running--;
     }
