--- a/packages/core/src/lib/keyvalue/OutageDetector.test.ts
+++ b/packages/core/src/lib/keyvalue/OutageDetector.test.ts
@@ -30,6 +30,16 @@
         expect(detector.lastOutageAt).to.equal(undefined);
     });
 
+    // Guards against a service that is taken for unavailable because it refuses some calls.
+    it("takes a service for available again once it has answered a call", () => {
+        const detector = new OutageDetector();
+        detector.recordRefusal(at(1000));
+        detector.recordAnswer(at(1100));
+        expect(detector.lastOutageAt).to.equal(undefined);
+        detector.recordRefusal(at(1200));
+        expect(detector.lastOutageAt).to.equal(1200);
+    });
+
     it("keeps the latest of several outages, whatever order they become known in", () => {
         const detector = new OutageDetector();
         detector.recordRefusal(at(2000));
--- a/packages/core/src/lib/keyvalue/OutageDetector.ts
+++ b/packages/core/src/lib/keyvalue/OutageDetector.ts
@@ -9,11 +9,20 @@
 /** Keeps when a service was last unavailable to this host. */
 export class OutageDetector {
     private contactAt = -Infinity as Instant;
+    private answeredAt = -Infinity as Instant;
     private outageAt: Instant | undefined;
 
-    /** The latest time at which the service is known to have been unavailable to this host; undefined if it never was. */
+    /**
+     * The latest time at which the service is known to have been unavailable to this host; undefined if it never was, or if it
+     * has carried out a call since.
+     */
     get lastOutageAt(): Instant | undefined {
-        return this.outageAt;
+        return this.outageAt !== undefined && this.outageAt > this.answeredAt ? this.outageAt : undefined;
+    }
+
+    /** Records that the service answered a call otherwise than by a refusal. */
+    recordAnswer(now: Instant): void {
+        this.answeredAt = now;
     }
 
     /** Records that bytes of the service arrived, or that a connection to it is open. */
--- a/packages/core/src/lib/ports/TransactionalStore.ts
+++ b/packages/core/src/lib/ports/TransactionalStore.ts
@@ -84,8 +84,8 @@
     /** Whether the store responded to the last call. */
     readonly isReachable: boolean;
     /**
-     * The latest time at which the store is known to have been unavailable to this host; undefined if it never was. A call that
-     * failed because this process was slow shows nothing.
+     * The latest time at which the store is known to have been unavailable to this host; undefined if it never was, or has
+     * answered since. A call that failed because this process was slow shows nothing.
      */
     readonly lastOutageAt: Instant | undefined;
 }
