Log unexpected errors of repeated ends, and count no waiting tasks of ending jobs

Found by the second review, by reading: an error while an end is repeated would have been an unhandled rejection, and the waiting tasks of a job whose end was requested kept long runs of other jobs from moving to faster engines.

--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -277,8 +277,8 @@
     }
 
     /**
-     * Ends a job; true once the store holds its end mark. No task of the job starts from this call on: if the mark cannot be
-     * written now, the write is repeated, as the end counts as acknowledged some seconds after it was requested.
+     * Ends a job; true once the store holds its end mark. No task of the job is chosen to start from this call on: if the mark
+     * cannot be written now, the write is repeated, as the end counts as acknowledged some seconds after it was requested.
      */
     async end(id: JobId): Promise<boolean> {
         const open = this.scheduler.get(id);
@@ -289,7 +289,9 @@
         open.isEnding = true;
         const hasEnded = await this.writeEnd(open);
         if (!hasEnded && !isRepeated) {
-            void this.repeatEnd(open);
+            void this.repeatEnd(open).catch((err: unknown) =>
+                this.journal.log("unexpected-error", { loop: "end a job", detail: String(err) })
+            );
         }
         return hasEnded;
     }
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -132,9 +132,9 @@
         return this.slotPace.slotMsPerToken;
     }
 
-    /** Whether any open job has a task that waits to run. */
+    /** Whether any open job has a task that waits to run and may start. */
     get hasWaiting(): boolean {
-        return this.scheduler.open.some(open => open.waiting.length > 0);
+        return this.scheduler.open.some(open => !open.isEnding && open.waiting.length > 0);
     }
 
     activate(): void {
