--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -29,7 +29,12 @@
             max_attempts: 2,
         }],
         services: [{ name: "desk", health_path: "/healthz", max_connections: 100, protocol: "h1", tls: false }],
-        limits: { max_header_bytes: 16_384, max_body_bytes: 1_048_576, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
+        limits: {
+            max_header_bytes: 16_384,
+            max_body_bytes: 1_048_576,
+            header_timeout_ms: 3000,
+            idle_timeout_ms: 15_000,
+        },
     });
     const workMs = ({ url }) => Number(url.split("/").at(-1));
     for (const nth of [1, 2]) {
@@ -70,10 +75,13 @@
     }
     const lateAnswer = kept.send("POST", `/order/${late.workMs}`, headersOf("a3"), "{}");
     record(`client: request a3 sent on the kept channel, ${late.workMs} ms of work`);
-    const [longEnd, lateEnd] = await Promise.all([longAnswer, lateAnswer.then(end => {
-        record(`client: request a3: ${end.status}, ${Date.now() - stoppedAt} ms after SIGTERM`);
-        return end;
-    })]);
+    const [longEnd, lateEnd] = await Promise.all([
+        longAnswer,
+        lateAnswer.then(end => {
+            record(`client: request a3: ${end.status}, ${Date.now() - stoppedAt} ms after SIGTERM`);
+            return end;
+        }),
+    ]);
     record(`client: request a2: ${longEnd.status}`);
     await passMs(500);
     const isPassedOn = deployment.record.lines.some(line => /request a3 begins/.test(line));
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -56,7 +56,12 @@
             tls: false,
             engine: { slots: 16, kv_tokens: 80_521, models: [{ name: model }] },
         }, { name: "desk", health_path: "/healthz", max_connections: 100, protocol: "h1", tls: false }],
-        limits: { max_header_bytes: 16_384, max_body_bytes: 33_554_432, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
+        limits: {
+            max_header_bytes: 16_384,
+            max_body_bytes: 33_554_432,
+            header_timeout_ms: 3000,
+            idle_timeout_ms: 15_000,
+        },
     });
     const models = [];
     for (let nth = 1; nth <= engines; nth++) {
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -26,13 +26,40 @@
     const cloud = createServer((req, res) => req.resume().once("end", () => res.writeHead(200).end("{}")));
     await new Promise(done => cloud.listen(0, "127.0.0.1", done));
     keep({ dispose: () => (cloud.close(), cloud.closeAllConnections()) });
-    const deployment = keep(new Deployment(record, store, {
-        contracts: ["base", "drain", "config", "cost", "recover", "health", "pool", "samples", "stream", "engine", "batch",
-            "tenants", "leader", "pressure", "platform"],
-        cloud: { address: `127.0.0.1:${cloud.address().port}`, rate_per_s: 50, duties: ["usage_report"], duty_per_s: 50 },
-    }));
-    Object.assign(deployment.settings.bounds, { strict_revoke: true, revoke_ms: 5000, report_window_s: 5, usage_off: 0.05,
-        usage_late_s: 10 });
+    const deployment = keep(
+        new Deployment(record, store, {
+            contracts: [
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "recover",
+                "health",
+                "pool",
+                "samples",
+                "stream",
+                "engine",
+                "batch",
+                "tenants",
+                "leader",
+                "pressure",
+                "platform",
+            ],
+            cloud: {
+                address: `127.0.0.1:${cloud.address().port}`,
+                rate_per_s: 50,
+                duties: ["usage_report"],
+                duty_per_s: 50,
+            },
+        }),
+    );
+    Object.assign(deployment.settings.bounds, {
+        strict_revoke: true,
+        revoke_ms: 5000,
+        report_window_s: 5,
+        usage_off: 0.05,
+        usage_late_s: 10,
+    });
     store.put("op/config", {
         version: 1,
         routes: [{
@@ -49,11 +76,25 @@
         }],
         services: [{ name: "desk", health_path: "/healthz", max_connections: 100, protocol: "h1", tls: false }],
         tenants: [{ name: "hule930", api_keys: [key], priority: 1 }],
-        limits: { max_header_bytes: 16_384, max_body_bytes: 1_048_576, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
+        limits: {
+            max_header_bytes: 16_384,
+            max_body_bytes: 1_048_576,
+            header_timeout_ms: 3000,
+            idle_timeout_ms: 15_000,
+        },
     });
     for (const nth of [1, 2]) {
-        keep(await new PlainWorker(store, `i-desk-${nth}`, "desk", "z", record, ({ url }) => Number(url.split("/").at(-1)))
-            .start("127.0.0.1"));
+        keep(
+            await new PlainWorker(
+                store,
+                `i-desk-${nth}`,
+                "desk",
+                "z",
+                record,
+                ({ url }) => Number(url.split("/").at(-1)),
+            )
+                .start("127.0.0.1"),
+        );
     }
     const edge = deployment.add("edge-z-1", "edge", { memory_mb: 350, max_fds: 4100 });
     deployment.add("edge-z-2", "edge", { memory_mb: 350, max_fds: 4100 });
@@ -103,5 +144,7 @@
     ).map(({ id }) => id);
     return lost.length === 0
         ? undefined
-        : `LOST: ${lost.join(", ")} were read and passed on to a worker, and their channels were closed without an answer`;
+        : `LOST: ${
+            lost.join(", ")
+        } were read and passed on to a worker, and their channels were closed without an answer`;
 });
--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -62,22 +62,25 @@
         this.isWanted = true;
         const { settings } = this.deployment;
         const isEdge = this.machineClass === "edge";
-        writeFileSync(this.file, JSON.stringify({
-            ...settings,
-            node_name: this.name,
-            role: isEdge ? "entry" : "storage",
-            machine_class: this.machineClass,
-            serves: isEdge ? ["edge", "control_plane"] : ["storage"],
-            ip: this.ip,
-            zone: this.zone,
-            listen: isEdge ? { front: this.front, ready: this.ready, control: `${this.ip}:8262` } : {},
-            port_range: [7300, 7315],
-            seed_addrs: this.deployment.machines.filter(each => each.machineClass === "edge").slice(0, 3)
-                .map(({ ip }) => `${ip}:8262`),
-            bootstrap: isFirst,
-            loss_counts: !isEdge,
-            limits: { cpu_share: 0.675, cpu_cores: 1, link_mbps: 1000, disk_mb: 0, ...this.limits },
-        }));
+        writeFileSync(
+            this.file,
+            JSON.stringify({
+                ...settings,
+                node_name: this.name,
+                role: isEdge ? "entry" : "storage",
+                machine_class: this.machineClass,
+                serves: isEdge ? ["edge", "control_plane"] : ["storage"],
+                ip: this.ip,
+                zone: this.zone,
+                listen: isEdge ? { front: this.front, ready: this.ready, control: `${this.ip}:8262` } : {},
+                port_range: [7300, 7315],
+                seed_addrs: this.deployment.machines.filter(each => each.machineClass === "edge").slice(0, 3)
+                    .map(({ ip }) => `${ip}:8262`),
+                bootstrap: isFirst,
+                loss_counts: !isEdge,
+                limits: { cpu_share: 0.675, cpu_cores: 1, link_mbps: 1000, disk_mb: 0, ...this.limits },
+            }),
+        );
         const [program, ...words] = commandOf(isEdge ? "entry" : "storage");
         const { PATH, HOME = "/tmp" } = process.env;
         const child = spawn(program, words, {
@@ -152,7 +155,18 @@
             discovery: "platform",
             entry: "vip",
             heartbeat_ms: 1200,
-            contracts: ["base", "drain", "config", "cost", "recover", "samples", "stream", "engine", "batch", "platform"],
+            contracts: [
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "recover",
+                "samples",
+                "stream",
+                "engine",
+                "batch",
+                "platform",
+            ],
             tolerate: { machines: 1, zones: 1, regions: 0 },
             bounds: {
                 seed_lag_s: 3,
--- a/review/standins-2/store.mjs
+++ b/review/standins-2/store.mjs
@@ -130,7 +130,9 @@
                 const isTooLarge = expected.length + puts.length + remove.length > maxEntries
                     || puts.some(({ value }) => Buffer.byteLength(value, "base64") > maxValueBytes);
                 if (isTooLarge) {
-                    this.refusedWrites.push(puts.map(({ key, value }) => `${key} ${Buffer.byteLength(value, "base64")}`));
+                    this.refusedWrites.push(
+                        puts.map(({ key, value }) => `${key} ${Buffer.byteLength(value, "base64")}`),
+                    );
                     return { status: 400, body: {} };
                 }
                 return this.commit(body);
--- a/review/standins-2/worker.mjs
+++ b/review/standins-2/worker.mjs
@@ -101,7 +101,15 @@
     versions = new Map();
     orders = 0;
 
-    constructor(store, id, service, zone, model, record, { events = 8, gapMs = 20, textOf = (id, event) => `${id}-${event}` } = {}) {
+    constructor(
+        store,
+        id,
+        service,
+        zone,
+        model,
+        record,
+        { events = 8, gapMs = 20, textOf = (id, event) => `${id}-${event}` } = {},
+    ) {
         super(store, id, service, zone, 16, record);
         Object.assign(this, { model, events, gapMs, textOf, finished: 0 });
         this.versions.set(model, 1);
