Count the results of a chunk and of a page in the bytes that go out

Reads of texts full of quotation marks or control characters returned pages of 1.7 and 4.9 MB, where callers accept 1 MB.

Cause: JobLog limited a chunk by the characters of its texts (500,000), which may be 1.5 MB in UTF-8; the store refuses a value over 1 MiB. A chunk keeps its content until it is written, so the refused write was repeated without end, and all results of the job waited behind it. pageOf counted characters as well, but callers get JSON, where a character takes up to six bytes.

The three new tests failed before: chunks of "é" had 999,579 bytes of JSON (limit 786,432 before base64), pages of "石" 52,488 bytes (limit 20,000), and JobStore's writes were refused by a memory store that now has the store's limit.

Stored records and messages have the same form as before.

--- a/packages/core/src/lib/jobs/JobLog.test.ts
+++ b/packages/core/src/lib/jobs/JobLog.test.ts
@@ -9,6 +9,10 @@
     return { task: asId<TaskId>(name), state: "completed", output, versions: [], score: undefined };
 }
 
+/** Upper limit of a value of the store in bytes, and the share of it that is left when the value is written in base64. */
+const maxValueBytes = 1_048_576;
+const base64Share = 0.75;
+
 describe("JobLog", () => {
     it("returns the same chunk until its outcome is known, whatever is added in between", () => {
         const log = new JobLog();
@@ -70,6 +74,39 @@
         expect(log.isInSync).to.equal(true);
     });
 
+    // Guards against a chunk that the store refuses again and again, so that no later result of the job is ever listed.
+    it("puts no more results into a chunk than the store takes in a value, whatever script their texts are in", () => {
+        for (const character of ["s", "é", "石", "🪨"]) {
+            const log = new JobLog();
+            for (let nth = 0; nth < 184; nth++) {
+                log.add(resultFixture(`t${nth}`, character.repeat(4000)));
+            }
+            let listed = 0;
+            for (let chunk = log.chunkToWrite(); chunk !== undefined; chunk = log.chunkToWrite()) {
+                const bytes = Buffer.byteLength(JSON.stringify(chunk.results));
+                expect(bytes, `a chunk of "${character}"`).to.be.below(maxValueBytes * base64Share);
+                log.adopt(chunk);
+                listed += chunk.results.length;
+            }
+            expect(listed).to.equal(184);
+        }
+    });
+
+    // Guards against a page that is larger than callers accept, because its texts grow when they are written as JSON.
+    it("counts the bytes that a page takes as JSON, whatever characters its texts have", () => {
+        for (const character of ["s", "石", "\"", "\u0001", "\u2028", "\ud800"]) {
+            const listed = Array.from({ length: 60 }, (unused, nth) => resultFixture(`t"${nth}`, character.repeat(900)));
+            for (let from = 0; from < listed.length;) {
+                const page = pageOf(listed, from, 20_000);
+                expect(page).to.not.deep.equal([]);
+                expect(Buffer.byteLength(JSON.stringify(page)), `a page of ${JSON.stringify(character)}`).to.be.at.most(
+                    20_000,
+                );
+                from += page.length;
+            }
+        }
+    });
+
     it("pages by bytes, with at least one result", () => {
         const listed = [resultFixture("a", "x".repeat(900)), resultFixture("b", "x".repeat(900)), resultFixture("c")];
         expect(pageOf(listed, 0, 100)).to.have.length(1);
--- a/packages/core/src/lib/jobs/JobLog.ts
+++ b/packages/core/src/lib/jobs/JobLog.ts
@@ -7,6 +7,7 @@
 
 import { type TaskId } from "../ids.js";
 import { type TaskResult } from "./Job.js";
+import { pageBytesOf, storedBytesOf } from "./resultSize.js";
 
 /** Consecutive results that are written under one key. */
 export interface ResultChunk {
@@ -14,7 +15,7 @@
     readonly results: readonly TaskResult[];
 }
 
-/** Maximum bytes of output in a chunk; after base64 it stays below the store's limit of 1 MiB for a value. */
+/** Upper limit of a chunk in bytes; in base64 it stays below the store's limit of 1 MiB for a value. */
 const maxChunkBytes = 500_000;
 
 /** The results of one job. */
@@ -90,13 +91,14 @@
         if (this.chunkInFlight === undefined && this.pending.length > 0) {
             const results: TaskResult[] = [];
             let bytes = 0;
-            while (
-                this.pending.length > 0 && (bytes === 0 || bytes + this.pending[0]!.output.length < maxChunkBytes)
-            ) {
-                const result = this.pending.shift()!;
-                bytes += result.output.length + 1;
+            for (const result of this.pending) {
+                bytes += storedBytesOf(result);
+                if (results.length > 0 && bytes > maxChunkBytes) {
+                    break;
+                }
                 results.push(result);
             }
+            this.pending.splice(0, results.length);
             this.chunkInFlight = { number: this.nextNumber, results };
         }
         return this.chunkInFlight;
@@ -134,12 +136,12 @@
     }
 }
 
-/** The results from position `after` on, as many as fit into `maxBytes`, but at least one if there is one. */
+/** The results from position `after` on, as many as fit into `maxBytes` of JSON, but at least one if there is one. */
 export function pageOf(listed: readonly TaskResult[], after: number, maxBytes: number): readonly TaskResult[] {
     const page: TaskResult[] = [];
     let bytes = 0;
     for (let nth = after; nth < listed.length; nth++) {
-        bytes += listed[nth]!.output.length + resultOverheadBytes;
+        bytes += pageBytesOf(listed[nth]!);
         if (page.length > 0 && bytes > maxBytes) {
             break;
         }
@@ -147,6 +149,3 @@
     }
     return page;
 }
-
-/** Bytes that a result takes up besides its output: ids, state, versions and punctuation. */
-const resultOverheadBytes = 150;
--- a/packages/rollout/src/lib/JobStore.test.ts
+++ b/packages/rollout/src/lib/JobStore.test.ts
@@ -142,6 +142,28 @@
         expect(res.swap().unsafeCoerce().claim?.item?.key).to.equal(jobKeys.claim);
     });
 
+    // Guards against results that are never listed, because the store refuses the value that holds them.
+    it("writes results whatever script their texts are in", async () => {
+        const { store, jobs } = fixture();
+        const claim = await claimFixture(store);
+        const log = new JobLog();
+        for (let nth = 0; nth < 184; nth++) {
+            log.add({
+                task: asId<TaskId>(`t${nth}`),
+                state: "completed",
+                output: "石".repeat(2200),
+                versions: [3 as WeightVersion, 4 as WeightVersion],
+                score: "0.5",
+            });
+        }
+        for (let chunk = log.chunkToWrite(); chunk !== undefined; chunk = log.chunkToWrite()) {
+            const stored = await jobs.append(asId<JobId>("job"), chunk, claim);
+            expect(stored.swap().toMaybe().extract()).to.equal(undefined);
+            stored.ifRight(each => log.adopt(each));
+        }
+        expect(log.listed).to.have.length(184);
+    });
+
     it("never changes the result of a position, with two conductors, lost answers and late writes", async () => {
         const fault = fc.constantFrom<WriteFault>("none", "none", "refused", "answer-lost", "late");
         const steps = fc.array(fc.tuple(fc.nat(1), fc.nat(5), fc.boolean()), { minLength: 5, maxLength: 40 });
--- a/packages/rollout/src/lib/MemoryStore.test.ts
+++ b/packages/rollout/src/lib/MemoryStore.test.ts
@@ -21,6 +21,9 @@
 /** The fault of a write. */
 export type WriteFault = "none" | "refused" | "answer-lost" | "late";
 
+/** Upper limit of a value in bytes, as the store counts it in base64. */
+const maxValueBytes = 1_048_576;
+
 /** Keeps items in memory. */
 export class MemoryTransactionalStore implements TransactionalStore {
     readonly lastOutageAt: Instant | undefined = undefined;
@@ -66,6 +69,9 @@
             this.late.push(commit);
             return Left({ applied: "unknown", detail: "late" });
         }
+        if (commit.puts.some(({ value }) => Buffer.from(value).toString("base64").length > maxValueBytes)) {
+            return Left({ applied: "no", detail: "A value is too large.", answered: true });
+        }
         const result = this.apply(commit);
         return fault === "answer-lost" ? Left({ applied: "unknown", detail: "lost" }) : Right(result);
     }
