Limit the text of one result, and the pages of conductors with earlier software

A text had no limit of its own: one over 1 MiB could never be written, its chunk was repeated without end, and all results of its job waited behind it. No caller has been seen to meet this; a worker that sends events without end would cause it.

Old and new builds: a conductor with earlier software counts a page in characters, so an entry host limits the page that it gets. The new tests of JobScheduler and JobCallHandler use what did not exist before; without limitPage the page had both results.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,6 +51,7 @@
 export * from "./lib/jobs/LeavingMoves.js";
 export * from "./lib/jobs/MovePlan.js";
 export * from "./lib/jobs/PaceTracker.js";
+export * from "./lib/jobs/resultSize.js";
 export * from "./lib/jobs/RewardQueue.js";
 export * from "./lib/jobs/sendDeadlineOf.js";
 export * from "./lib/jobs/TaskProgress.js";
--- a/packages/core/src/lib/jobs/JobLog.test.ts
+++ b/packages/core/src/lib/jobs/JobLog.test.ts
@@ -95,7 +95,10 @@
     // Guards against a page that is larger than callers accept, because its texts grow when they are written as JSON.
     it("counts the bytes that a page takes as JSON, whatever characters its texts have", () => {
         for (const character of ["s", "石", "\"", "\u0001", "\u2028", "\ud800"]) {
-            const listed = Array.from({ length: 60 }, (unused, nth) => resultFixture(`t"${nth}`, character.repeat(900)));
+            const listed = Array.from(
+                { length: 60 },
+                (unused, nth) => resultFixture(`t"${nth}`, character.repeat(900)),
+            );
             for (let from = 0; from < listed.length;) {
                 const page = pageOf(listed, from, 20_000);
                 expect(page).to.not.deep.equal([]);
--- a/packages/core/src/lib/jobs/JobScheduler.test.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.test.ts
@@ -124,6 +124,27 @@
         }
     });
 
+    // Guards against a text that no value of the store holds: its result could not be written, nor those behind it.
+    it("begins a text again that is too long for a result, and gives it up only when the task expires", () => {
+        const scheduler = schedulerFixture();
+        const terms = termsFixture({ maxAttempts: 2, expiresAt: 9000 as Instant });
+        scheduler.add(jobFixture([taskFixture(0), taskFixture(1)]), terms, new JobLog());
+        const { run } = scheduler.next([engineFixture("a")], now)!;
+        const event = { id: 1, data: "\u0001".repeat(100_000) };
+        expect(run.progress.append(event, one)).to.equal(undefined);
+        expect(run.progress.append({ ...event, id: 2 }, one)).to.equal("too-long");
+        expect(run.progress.eventCount).to.equal(1);
+        expect(scheduler.end(run, "too-long", now)).to.equal(undefined);
+        expect(run.progress.eventCount).to.equal(0);
+        const later = 1000 as Instant;
+        const other = scheduler.next([engineFixture("a")], later)!.run;
+        expect(other).to.equal(run);
+        expect(scheduler.end(run, "too-long", later)).to.equal(undefined);
+        expect(scheduler.next([engineFixture("a")], 2000 as Instant)!.run).to.not.equal(run);
+        expect(scheduler.nextRetryAt(2000 as Instant)).to.equal(undefined);
+        expect(scheduler.expire(9000 as Instant).map(({ result }) => result.state)).to.deep.equal(["failed"]);
+    });
+
     it("fails a task only after its last attempt, when it is impossible, or when it has expired", () => {
         const scheduler = schedulerFixture();
         const log = new JobLog();
--- a/packages/core/src/lib/jobs/JobScheduler.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.ts
@@ -46,6 +46,8 @@
     readonly progress: TaskProgress;
     /** Number of runs that an engine answered with a failure. */
     failures: number;
+    /** Number of runs whose text was too long for a result. */
+    longTexts: number;
     /** The task is not started before this time. */
     notBefore: Instant;
     /** The engine where it runs, or undefined while it waits. */
@@ -91,11 +93,17 @@
     readonly software: SoftwareVersion | undefined;
 }
 
-/** How a run ended. After "broken" the next run resumes after the text read so far. */
-export type RunEnd = "completed" | "failed" | "impossible" | "broken" | "not-run";
+/**
+ * How a run ended. After "broken" the next run resumes after the text read so far; after "too-long" the text begins again,
+ * in case the engine sent more than the text.
+ */
+export type RunEnd = "completed" | "failed" | "impossible" | "broken" | "not-run" | "too-long";
 
 /** Milliseconds before a task is scheduled again, by how its run ended. */
-const retryDelayMs = { "not-run": 60, "broken": 20, "failed": 50 } as const;
+const retryDelayMs = { "not-run": 60, "broken": 20, "failed": 50, "too-long": 50 } as const;
+
+/** The time of a start that does not take place. */
+const never = Infinity as Instant;
 
 /** Number of events by which another host's copy of a text must be longer for a run to be restarted from it. */
 const minInheritedEvents = 8;
@@ -146,6 +154,7 @@
                 job: open,
                 progress: this.takeRetained(task.id, job.minVersion, terms.singleVersion),
                 failures: 0,
+                longTexts: 0,
                 notBefore: 0 as Instant,
                 target: undefined,
                 lastFailedTarget: undefined,
@@ -279,7 +288,7 @@
     nextRetryAt(now: Instant): Instant | undefined {
         const times = this.open.flatMap(open =>
             open.waiting.flatMap(({ notBefore, softwareWaitUntil }) => [notBefore, softwareWaitUntil ?? now])
-        ).filter(at => at > now);
+        ).filter(at => at > now && at !== never);
         return times.length === 0 ? undefined : Math.min(...times) as Instant;
     }
 
@@ -301,6 +310,12 @@
         }
         run.lastFailedTarget = outcome === "not-run" ? run.lastFailedTarget : lastTarget;
         run.notBefore = after(now, retryDelayMs[outcome]);
+        if (outcome === "too-long") {
+            run.progress.reset(this.newTextId());
+            run.longTexts++;
+            // Its result cannot be listed before the task expires.
+            run.notBefore = run.longTexts < run.job.terms.maxAttempts ? run.notBefore : never;
+        }
         run.job.waiting.unshift(run);
         return undefined;
     }
--- a/packages/core/src/lib/jobs/resultSize.ts
+++ b/packages/core/src/lib/jobs/resultSize.ts
@@ -11,6 +11,9 @@
 /** Upper limit of the bytes of one weight version, as a number in binary or in decimal digits with a comma. */
 const versionBytes = 18;
 
+/** Upper limit of the text of one result in bytes of JSON: it fits into a value of the store, and into a page. */
+export const maxTextBytes = 700_000;
+
 /** Upper limit of the bytes that a result takes in a stored chunk. */
 export function storedBytesOf({ task, output, versions, score = "" }: TaskResult): number {
     return [task, output, score].reduce(
--- a/packages/rollout/src/lib/JobCallHandler.test.ts
+++ b/packages/rollout/src/lib/JobCallHandler.test.ts
@@ -1,6 +1,6 @@
-/** Tests of what the end of a job does at the host that answers the call. */
+/** Tests of what the end of a job does at the host that answers the call, and of the pages that it reads elsewhere. */
 
-import { asId, type HostId, type Instant, type JobId, type PeerNetwork } from "@tamarackpath/core";
+import { asId, type HostId, type Instant, type JobId, type PeerNetwork, type TaskId } from "@tamarackpath/core";
 import { expect } from "chai";
 import { Right } from "purify-ts";
 import { type ConductorTask } from "./ConductorTask.js";
@@ -21,11 +21,12 @@
 
 /**
  * The job calls of a host; the store has a job. A host with a `relay` is cut off but for it, and a conductor
- * behind the relay ends any job.
+ * behind the relay gives `answer` to any call.
  */
 async function callsFixture(
     conductor: Pick<ConductorTask, "isConductor" | "isSure">,
     relay?: HostId,
+    answer: object = { ended: true },
 ): Promise<Fixture> {
     const clock = createSteppingClock(0);
     const fixture = registryFixture(new MemoryTransactionalStore(), clock);
@@ -33,7 +34,7 @@
     const peers = {
         handle: () => undefined,
         setAddress: () => undefined,
-        ask: async () => Right(Right({ kind: "answered", answer: { ended: true } })),
+        ask: async () => Right(Right({ kind: "answered", answer })),
     } as unknown as PeerNetwork;
     const calls = new JobCallHandler(
         {
@@ -83,6 +84,25 @@
         expect(openIds()).to.deep.equal([]);
     });
 
+    // Guards against a page larger than callers accept, from a conductor that counts its size in characters.
+    it("limits a page that a conductor with earlier software sent", async () => {
+        const relay = asId<HostId>("relay");
+        const results = ["a", "b"].map(name => ({
+            task: asId<TaskId>(name),
+            state: "completed" as const,
+            output: "\"".repeat(50),
+            versions: [],
+            score: undefined,
+        }));
+        const { calls } = await callsFixture({ isConductor: false, isSure: false }, relay, {
+            total: 2,
+            results,
+            isSure: true,
+        });
+        const page = (await calls.read(id, 0, 0)).unsafeCoerce();
+        expect("results" in page && page.results.map(({ task }) => task)).to.deep.equal(["a"]);
+    });
+
     // Guards against a host that never conducts and remembers every job that ends through it.
     it("remembers no end of a job that was not open at this host", async () => {
         const { calls, registry } = await callsFixture({ isConductor: false, isSure: false });
--- a/packages/rollout/src/lib/JobCallHandler.ts
+++ b/packages/rollout/src/lib/JobCallHandler.ts
@@ -116,7 +116,8 @@
                 { job, after: position, waitMs, organisation },
                 waitMs + peerAnswerMarginMs,
             );
-        const page = res.toMaybe().extract();
+        const answer = res.toMaybe().extract();
+        const page = answer === undefined || "unknown" in answer ? answer : this.limitPage(answer);
         if (page !== undefined && ("unknown" in page || page.isSure)) {
             return Right(page);
         }
@@ -204,6 +205,11 @@
         return mayAccessJob(this.registry.ownerOf(job), organisation);
     }
 
+    /** A conductor with earlier software counts the size of a page in characters, so it may send a larger one. */
+    private limitPage(page: ConductorPage): ConductorPage {
+        return { ...page, results: pageOf(page.results, 0, this.options.maxPageBytes) };
+    }
+
     /**
      * The answer about a job of another organisation, for certain only while this host is certain to conduct. A host of
      * earlier software names no organisation and takes this answer for final although its caller may own the job, so a host
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -234,7 +234,7 @@
             this.dispatch();
             return;
         }
-        this.settle(run, entry, end, execution.isTooOld);
+        this.settle(run, entry, end, execution);
     }
 
     /** Stops runs that send no events, or that are much slower than engines with free slots, to resume them there. */
@@ -258,7 +258,12 @@
         this.mover.moveRuns(engines, this.hasWaiting ? [] : this.scheduler.open, now);
     }
 
-    private settle(run: TaskRun, entry: TargetEntryView, end: TaskRunOutcome, isTooOld: boolean): void {
+    private settle(
+        run: TaskRun,
+        entry: TargetEntryView,
+        end: TaskRunOutcome,
+        { isTooOld, isTooLong }: TaskExecution,
+    ): void {
         const now = this.clock.now();
         if (isTooOld && run.job.terms.singleVersion) {
             run.progress.reset(this.scheduler.newTextId());
@@ -275,7 +280,7 @@
             this.backoff.recordRefusal(entry, now);
             this.versions.recordStillChanging(entry, run.job.job.model, after(now, stillChangingDelayMs));
         }
-        this.finish(run, end.kind === "cancelled" || isTooOld ? "broken" : runEnds[end.kind]);
+        this.finish(run, isTooLong ? "too-long" : end.kind === "cancelled" || isTooOld ? "broken" : runEnds[end.kind]);
     }
 
     private finish(run: TaskRun, end: RunEnd): void {
--- a/packages/rollout/src/lib/TaskExecution.ts
+++ b/packages/rollout/src/lib/TaskExecution.ts
@@ -47,6 +47,7 @@
     /** When the request was sent, and the age of the known ends of jobs then; undefined before that. */
     private sent: { readonly at: Instant; readonly endsAgeMs: number | undefined; } | undefined;
     private hasOldEvent = false;
+    private hasLongText = false;
 
     /** The task is not sent from `sendDeadline` on. */
     constructor(
@@ -66,6 +67,11 @@
         return this.hasOldEvent;
     }
 
+    /** Whether the run was stopped because its text became too long for a result. */
+    get isTooLong(): boolean {
+        return this.hasLongText;
+    }
+
     /** Sends the task to the engine; the promise ends with the run. */
     start(): Promise<TaskRunOutcome> {
         const { view, permits, engines } = this.parts;
@@ -109,7 +115,7 @@
             job: run.job.job.id,
             task: run.task.id,
             target,
-            end: this.isTooOld ? "too-old" : this.running.moved ?? end.kind,
+            end: this.isTooOld ? "too-old" : this.isTooLong ? "too-long" : this.running.moved ?? end.kind,
             detail: "detail" in end ? end.detail : "status" in end ? String(end.status) : undefined,
             events: run.progress.eventCount,
             sentAfterMs: this.sent === undefined ? undefined : this.sent.at - startedAt,
@@ -172,7 +178,9 @@
         }
         const wouldMix = terms.singleVersion && run.progress.versions.some(earlier => earlier !== version);
         this.hasOldEvent = version < job.minVersion || wouldMix;
-        return !this.hasOldEvent && run.progress.append(event, version) === undefined;
+        const fault = this.hasOldEvent ? undefined : run.progress.append(event, version);
+        this.hasLongText = fault === "too-long";
+        return !this.hasOldEvent && fault === undefined;
     }
 
     private recordEvent(): void {
