--- a/apps/daemon/src/lib/answers/AtMostOnceRunner.ts
+++ b/apps/daemon/src/lib/answers/AtMostOnceRunner.ts
@@ -98,7 +98,7 @@
     }
 
     private storeOutcome(id: string, outcome: StoredResponse): void {
-        const bytes = outcome.bodyBase64.length + JSON.stringify(outcome.headers).length;
+        const bytes = outcome.bodyBase64.length + Buffer.byteLength(JSON.stringify(outcome.headers));
         if (bytes > maxOutcomeBytes) {
             this.registry.apply(id, "answer");
             return;
--- a/apps/daemon/src/lib/answers/SettleQueue.ts
+++ b/apps/daemon/src/lib/answers/SettleQueue.ts
@@ -58,7 +58,7 @@
             status: outcome.status,
             bodySha256: createHash("sha256").update(Buffer.from(outcome.bodyBase64, "base64")).digest("hex"),
         };
-        const size = outcome.bodyBase64.length + JSON.stringify(outcome.headers).length;
+        const size = outcome.bodyBase64.length + Buffer.byteLength(JSON.stringify(outcome.headers));
         return size > maxStoredOutcomeBytes
             ? { digest }
             : { digest, outcome, dropOutcomeAt: after(this.clock.now(), outcomeTtlMs) };
--- a/apps/daemon/src/lib/http/dump.ts
+++ b/apps/daemon/src/lib/http/dump.ts
@@ -21,7 +21,7 @@
     };
     let listLength = maxListLength;
     let text = stringifyBounded(state, listLength);
-    while (text.length > maxDumpBytes && listLength > 1) {
+    while (Buffer.byteLength(text) > maxDumpBytes && listLength > 1) {
         listLength = Math.floor(listLength / 2);
         text = stringifyBounded(state, listLength);
     }
--- a/packages/core/src/lib/answers/ClaimBucket.test.ts
+++ b/packages/core/src/lib/answers/ClaimBucket.test.ts
@@ -97,6 +97,18 @@
         expect(claims.length).to.be.greaterThan(1000);
     });
 
+    // Guards against a bucket that the key-value service refuses, so that none of its keys is ever claimed.
+    it("counts its size in bytes, also when outcomes have headers in other scripts", () => {
+        const outcome = { status: 200, headers: { "x-note": "石".repeat(2000) }, bodyBase64: "" };
+        let claims: readonly Claim[] = [];
+        for (let nth = 0; nth < 300; nth++) {
+            const claim = createClaim(`c${nth}`, { key: `k${nth}`, state: "answered", outcome });
+            const { text } = applyClaimChanges(claims, [createChange(claim)], now);
+            expect(Buffer.byteLength(text ?? "")).to.be.at.most(maxClaimBucketBytes);
+            claims = parseClaimBucket(text)!;
+        }
+    });
+
     it("returns undefined for a text that is not a bucket", () => {
         expect(parseClaimBucket("{")).to.equal(undefined);
         expect(parseClaimBucket("{\"claims\":[{}]}")).to.equal(undefined);
--- a/packages/core/src/lib/answers/ClaimBucket.ts
+++ b/packages/core/src/lib/answers/ClaimBucket.ts
@@ -65,14 +65,14 @@
     now: Instant,
 ): BucketUpdate {
     const live = new Map(claims.filter(claim => claim.forgetAt > now).map(claim => [claim.key, claim]));
-    let bytes = serializeClaims([...live.values()]).length;
+    let bytes = Buffer.byteLength(serializeClaims([...live.values()]));
     let hasChanged = false;
     const outcomes = changes.map<ClaimChangeOutcome>(change => {
         const decision = decideChange(live.get(change.claim.key), change);
         if (decision !== "write") {
             return decision;
         }
-        bytes += JSON.stringify(change.claim).length;
+        bytes += Buffer.byteLength(JSON.stringify(change.claim));
         if (bytes > maxClaimBucketBytes && !makeRoom(live, now)) {
             return { kind: "full" };
         }
@@ -110,7 +110,7 @@
             live.set(key, { ...claim, outcome: undefined, dropOutcomeAt: now });
         }
     }
-    return serializeClaims([...live.values()]).length < maxClaimBucketBytes * 0.9;
+    return Buffer.byteLength(serializeClaims([...live.values()])) < maxClaimBucketBytes * 0.9;
 }
 
 function dropOldOutcomes(claims: readonly Claim[], now: Instant): readonly Claim[] {
--- a/packages/core/src/lib/duties/UsageRecord.test.ts
+++ b/packages/core/src/lib/duties/UsageRecord.test.ts
@@ -43,6 +43,16 @@
         expect(decodeUsageRecord(new Uint8Array([255])).isLeft()).to.equal(true);
     });
 
+    // Guards against a record that the store refuses again and again, so that no window is ever reported.
+    it("drops the oldest windows that the store has no room for", () => {
+        const counts = Object.fromEntries(Array.from({ length: 2000 }, (unused, nth) => [`石石石石${nth}`, nth]));
+        const windows = Array.from({ length: 40 }, (unused, nth) => ({ window: nth + 1, counts }));
+        const { record, dropped } = fixWindows({ fixedTo: 0, unreported: [] }, windows, new Set());
+        expect(encodeUsageRecord(record).length).to.be.below(0.75 * 1_048_576);
+        expect(record.unreported.at(-1)!.window).to.equal(40);
+        expect(dropped).to.equal(40 - record.unreported.length).and.to.be.above(0);
+    });
+
     it("that cannot be read lets no window be reported that may be fixed in it", () => {
         const ledger = new UsageLedger(windowMs);
         const reporter = new UsageReporter(ledger, windowMs, 20, 0 as Instant, 100 * windowMs, 0);
--- a/packages/core/src/lib/duties/UsageRecord.ts
+++ b/packages/core/src/lib/duties/UsageRecord.ts
@@ -13,6 +13,9 @@
 /** Upper limit of the unreported windows that are kept. */
 const maxUnreported = 60;
 
+/** Upper limit of the record in bytes; in base64 it stays below the store's limit of 1 MiB for a value. */
+const maxRecordBytes = 700_000;
+
 const recordSchema = z.looseObject({
     fixedTo: z.number().int(),
     unreported: z.array(z.looseObject({
@@ -62,10 +65,11 @@
     const all = [...record.unreported.filter(({ window }) => !reported.has(window)), ...added];
     const fixedTo = added.at(-1)?.window ?? record.fixedTo;
     const skipped = fixedTo - record.fixedTo - added.length;
-    return {
-        record: { ...record, fixedTo, unreported: all.slice(-maxUnreported) },
-        dropped: skipped + Math.max(0, all.length - maxUnreported),
-    };
+    let next: UsageRecord = { ...record, fixedTo, unreported: all.slice(-maxUnreported) };
+    while (next.unreported.length > 1 && encodeUsageRecord(next).length > maxRecordBytes) {
+        next = { ...next, unreported: next.unreported.slice(1) };
+    }
+    return { record: next, dropped: skipped + all.length - next.unreported.length };
 }
 
 /** The first window to fix after `fixedTo` if `newest` is the last one: only as many as are kept. */
--- a/packages/core/src/lib/jobs/Job.ts
+++ b/packages/core/src/lib/jobs/Job.ts
@@ -83,3 +83,13 @@
     chunk: (job: JobId, chunk: number) => `tamarack/results/${job}/${String(chunk).padStart(6, "0")}`,
     resultsPrefix: (job: JobId) => `tamarack/results/${job}/`,
 } as const;
+
+/** Upper limit of a key of the store in bytes. */
+const maxKeyBytes = 200;
+
+/** Whether the store takes the keys of a job with this id. */
+export function isStorable(job: JobId): boolean {
+    return [jobKeys.ended(job), jobKeys.openPart(job, 0), jobKeys.chunk(job, 0)].every(key =>
+        Buffer.byteLength(key) <= maxKeyBytes
+    );
+}
--- a/packages/core/src/lib/software/ServingHistory.test.ts
+++ b/packages/core/src/lib/software/ServingHistory.test.ts
@@ -117,6 +117,15 @@
         }
         expect(records.size).to.equal(20_000);
         expect(records.get("old", at(streamLifetimeMs))).to.equal(undefined);
-        expect(records.newest(10, at(streamLifetimeMs + 30_000)).at(-1)!.stream).to.equal("s29999");
+        expect(records.newest(10, 10_000, at(streamLifetimeMs + 30_000)).at(-1)!.stream).to.equal("s29999");
+    });
+
+    // Guards against records that the store refuses, because callers chose long ids for their streams.
+    it("stores only the newest records that fit into a value", () => {
+        const records = new StreamRecords();
+        ["a", "b", "c"].forEach(name => records.add(recordFixture(`${name}${"石".repeat(1000)}`, 0)));
+        records.add(recordFixture("short", 0));
+        const stored = records.newest(10, 7000, at(1)).map(({ stream }) => stream.slice(0, 5));
+        expect(stored).to.deep.equal(["b石石石石", "c石石石石", "short"]);
     });
 });
--- a/packages/core/src/lib/software/StreamRecords.ts
+++ b/packages/core/src/lib/software/StreamRecords.ts
@@ -45,9 +45,18 @@
         return record !== undefined && record.startedAt > now - streamLifetimeMs ? record : undefined;
     }
 
-    /** The newest `max` records that have not expired. */
-    newest(max: number, now: Instant): readonly StreamRecord[] {
-        return [...this.records.values()].slice(-max).filter(({ startedAt }) => startedAt > now - streamLifetimeMs);
+    /** Those of the newest `max` records that have not expired and fit into `maxBytes` when they are stored. */
+    newest(max: number, maxBytes: number, now: Instant): readonly StreamRecord[] {
+        let bytes = 0;
+        return [...this.records.values()].slice(-max).filter(({ startedAt }) => startedAt > now - streamLifetimeMs)
+            .reverse()
+            .filter(record => {
+                const size = storedBytesOf(record);
+                const fits = bytes + size <= maxBytes;
+                bytes += fits ? size : 0;
+                return fits;
+            })
+            .reverse();
     }
 
     /** Drops the records that a restarted target shows to be wrong; returns whether there were any. */
@@ -57,3 +66,10 @@
         return wrong.length > 0;
     }
 }
+
+/** Upper limit of the bytes of a stored record beside its texts: field names, numbers and lengths. */
+const overheadBytes = 110;
+
+function storedBytesOf({ stream, service, software, target }: StreamRecord): number {
+    return [stream, service, software, target].reduce((sum, text) => sum + Buffer.byteLength(text), overheadBytes);
+}
--- a/packages/rollout/src/lib/StreamOrigins.ts
+++ b/packages/rollout/src/lib/StreamOrigins.ts
@@ -57,8 +57,8 @@
 /** Upper limit of the writes of records a second by all hosts together: a tenth of what the store takes. */
 const maxWritesPerSecond = 40;
 
-/** Records in one write: with 170 bytes each below the store's limit of a value. */
-const maxStoredRecords = 4000;
+/** Upper limits of the records in one write; in base64 the bytes stay below the store's limit of 1 MiB for a value. */
+const maxStored = { records: 4000, bytes: 700_000 } as const;
 
 /** Milliseconds for which a read of the stored records serves further lookups. */
 const readTtlMs = 250;
@@ -247,7 +247,7 @@
             return false;
         }
         const key = streamKeys.records(this.options.name, this.startedAt);
-        const records = this.records.newest(maxStoredRecords, now);
+        const records = this.records.newest(maxStored.records, maxStored.bytes, now);
         this.writtenCount = this.addedCount;
         const value = pack(records);
         const res = await this.store.commit({ expected: [], puts: [{ key, value, lease }], removes: [] }, "streams");
