Take no request during a planned stop that may outlast the process, and answer what still runs

Cause: while a stopping host waits for one long request, it took every request that came on kept connections, whatever time was left. Only the answers to requests that arrived after the signal closed their connection; idle ones stayed open to the exit.

Now: once the load balancer has stopped sending connections (2.6 s), idle connections are closed at once and as soon as they become idle; a request is taken only if its deadline comes before the end of the grace period (core/shutdown/StopAdmission), otherwise it is refused as not run, with a time to return. What still runs at that point is answered as unknown (504), instead of closing its connection. Connections are closed by ClientGuard, which knows whether an answer is still being written; Node.js' closeIdleConnections would cut large ones. The open answers at the signal close their connections too.

--- a/packages/adapters/src/lib/ClientGuard.ts
+++ b/packages/adapters/src/lib/ClientGuard.ts
@@ -113,6 +113,12 @@
         });
     }
 
+    /** Closes the connections of `server` on which a request was answered and no further one has begun. */
+    closeIdle(server: Server): void {
+        [...this.connections.get(server) ?? []].filter(({ isEnding, phase }) => !isEnding && phase === "idle")
+            .forEach(connection => this.close(connection));
+    }
+
     /** Reads the body of an admitted request into memory. */
     async readBody(req: IncomingMessage, res: ServerResponse, { maxBytes, lateAt }: BodyOptions): Promise<BodyRead> {
         const owner = this.owners.get(res);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -110,6 +110,7 @@
 export * from "./lib/schemaKeys.js";
 export * from "./lib/shared/SharedEntryRegistry.js";
 export * from "./lib/shared/StoreReadRole.js";
+export * from "./lib/shutdown/StopAdmission.js";
 export * from "./lib/software/ReleaseTracker.js";
 export * from "./lib/software/ServingHistory.js";
 export * from "./lib/software/SoftwareRun.js";
--- a/packages/rollout/src/lib/CallExecution.ts
+++ b/packages/rollout/src/lib/CallExecution.ts
@@ -61,15 +61,20 @@
         });
     }
 
-    private async watchDeadline(): Promise<void> {
-        await this.forwarder.pauseUntil(this.attempts.deadline, this.cancel.signal);
+    /** Ends the call with what is known of it; `reason` says why it cannot go on. */
+    end(reason: string): void {
         this.finish(
             this.bestAnswer ?? (this.attempts.mayHaveRun
-                ? { kind: "failed", reason: `The time is over. ${this.lastDetail}`, late: true }
-                : refusedWith(`The time is over. ${this.lastDetail}`)),
+                ? { kind: "failed", reason: `${reason} ${this.lastDetail}`, late: true }
+                : refusedWith(`${reason} ${this.lastDetail}`)),
         );
     }
 
+    private async watchDeadline(): Promise<void> {
+        await this.forwarder.pauseUntil(this.attempts.deadline, this.cancel.signal);
+        this.end("The time is over.");
+    }
+
     /** Sends an idempotent request to a second target when the first one has not answered within the hedge delay. */
     private async hedge(): Promise<void> {
         if (this.route.kind !== "idempotent") {
--- a/packages/rollout/src/lib/CallForwarder.ts
+++ b/packages/rollout/src/lib/CallForwarder.ts
@@ -66,6 +66,9 @@
 /** Forwards calls to the targets of their route. */
 export class CallForwarder {
     private readonly targetSelector: TargetSelector;
+    private readonly executions = new Set<CallExecution>();
+    /** Why calls that have not begun are refused; undefined while they are not. */
+    private endReason: string | undefined;
 
     constructor(
         private readonly settings: RolloutSettings,
@@ -104,7 +107,11 @@
             ? refusedWith(pool.reason)
             : admission === "blocked"
             ? this.blockedAnswer(call)
-            : await new CallExecution(this, route, pool, attempts, call, admission, streamHandler, callerGone).run();
+            : this.endReason !== undefined
+            ? refusedWith(this.endReason)
+            : await this.execute(
+                new CallExecution(this, route, pool, attempts, call, admission, streamHandler, callerGone),
+            );
         this.journal.log("call-ended", {
             call: call.id,
             route: route.id,
@@ -118,6 +125,22 @@
         return answer;
     }
 
+    /** Ends all calls, and refuses later ones, as the host is about to stop. */
+    endAll(reason: string): void {
+        this.endReason = reason;
+        this.executions.forEach(execution => execution.end(reason));
+    }
+
+    private async execute(execution: CallExecution): Promise<CallAnswer> {
+        this.executions.add(execution);
+        try {
+            return await execution.run();
+        }
+        finally {
+            this.executions.delete(execution);
+        }
+    }
+
     /**
      * The answer to a call that ends its targets. It does not promise that the request has not run, since its earlier
      * copies have, and gives no time to return.
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -6,6 +6,7 @@
     type JobScheduler,
     RelayChoice,
     sleepUntil,
+    StopAdmission,
     type TargetResponse,
 } from "@tamarackpath/core";
 import { CallForwarder } from "./CallForwarder.js";
@@ -60,6 +61,8 @@
     readonly reach: ReachTask;
     /** Undefined where use is not reported. */
     readonly usage: UsageTask | undefined;
+    /** Decides which requests of callers are taken while this host stops. */
+    readonly stopAdmission = new StopAdmission();
     private readonly succession: ConductorSuccession;
     private isStopping = false;
 
@@ -75,7 +78,16 @@
         const relays = new RelayChoice(zone, random);
         // Until the conductor names hosts that reach targets, the seeds are asked; they refuse if they reach none.
         relays.setHosts(seeds.map(host => ({ host, zone })));
-        const targets = new RelayedTargets(self, ports.targets, this.reach, relays, this.view, peers, clock, journal);
+        const targets = new RelayedTargets(
+            self,
+            ports.targets,
+            this.reach,
+            relays,
+            this.view,
+            peers,
+            clock,
+            journal,
+        );
         const engines = watchEngines(ports.engines, () => void this.reach.suspect());
         this.targets = targets;
         const delay = hasCallers ? claimDelayMs.withCallers : claimDelayMs.withoutCallers;
@@ -242,6 +254,11 @@
         this.tasks.deactivate();
     }
 
+    /** Ends the calls of callers that have no answer yet; those that may have run end as unknown. */
+    endCalls(): void {
+        this.forwarder.endAll("The host is stopping.");
+    }
+
     /** Sends what the conductor needs of this host before its process ends; takes at most half a second. */
     async sendLastCounts(): Promise<void> {
         await this.usage?.sendLastCounts();
