Refuse requests that arrive while a stopping host sends its last counts

Cause: Program.shutDown counted the open requests once, and then waited up to 0.5 s for the conductor to take the last counts of use, as when the conductor's host is the next to stop. Requests that came meanwhile were forwarded, and nothing counted them before the exit.

Now the host refuses all requests, as they arrive, from the moment at which it has found none open. There is no wait between that count and the refusals, so none is open when the process exits, whatever is awaited after it.

--- a/packages/core/src/lib/shutdown/StopAdmission.test.ts
+++ b/packages/core/src/lib/shutdown/StopAdmission.test.ts
@@ -26,4 +26,10 @@
             return refusal === (now + ms > 7300 ? "may-outlast-host" : undefined);
         }));
     });
+
+    it("takes nothing once nothing waits for requests any more", () => {
+        const admission = stoppingFixture();
+        admission.refuseAll();
+        expect(admission.refusalOf(at(2700), at(2650))).to.equal("stopped");
+    });
 });
--- a/packages/core/src/lib/shutdown/StopAdmission.ts
+++ b/packages/core/src/lib/shutdown/StopAdmission.ts
@@ -15,11 +15,12 @@
 }
 
 /** Why a request is refused. */
-export type StopRefusal = "may-outlast-host";
+export type StopRefusal = "may-outlast-host" | "stopped";
 
 /** Admits requests at one host. */
 export class StopAdmission {
     private times: StopTimes | undefined;
+    private isRefusing = false;
 
     /** Whether the host is stopping. */
     get isStopping(): boolean {
@@ -30,8 +31,16 @@
         this.times = times;
     }
 
+    /** Refuses all later requests, as nothing waits for them any more. */
+    refuseAll(): void {
+        this.isRefusing = true;
+    }
+
     /** Decides at `now` about a request that is answered by `deadline` at the latest; undefined if it is taken. */
     refusalOf(deadline: Instant, now: Instant): StopRefusal | undefined {
+        if (this.isRefusing) {
+            return "stopped";
+        }
         const mayOutlast = this.times !== undefined && now >= this.times.drainedAt && deadline > this.times.endAt;
         return mayOutlast ? "may-outlast-host" : undefined;
     }
