Let a stopping host finish the requests that it sends for hosts without targets

A stopping host took requests of hosts without targets up to its exit and did not wait for them; hosts without callers exit at once. The asking host saw a broken link, so its caller got 502.

Now these requests count as open work, are taken by the same rule as those of callers, and end as "may have run" at the end of the grace period. A stopping host tells the conductor that it is not to be named as a relay. The new tests use what did not exist before.

--- a/packages/rollout/src/lib/RelaySession.test.ts
+++ b/packages/rollout/src/lib/RelaySession.test.ts
@@ -49,6 +49,16 @@
         expect([isRead, session.signal.aborted, hasEnded]).to.deep.equal([true, true, true]);
     });
 
+    // Guards against a host that learns only by a broken link, or not before its deadline, that its request goes nowhere.
+    it("tells the other host that its request may have run when this host stops", async () => {
+        const session = new RelaySession(createSteppingClock(0.1), () => undefined);
+        const step = session.take();
+        session.end("The host is stopping.");
+        session.finish({ kind: "cancelled" });
+        expect((await step).outcome).to.deep.equal({ kind: "unknown", detail: "The host is stopping." });
+        expect(session.signal.aborted).to.equal(true);
+    });
+
     it("does not end a request whose target takes long, while the other host waits for it", async () => {
         const clock = createSteppingClock(0.1);
         const session = new RelaySession(clock, () => undefined);
--- a/packages/rollout/src/lib/RelaySession.ts
+++ b/packages/rollout/src/lib/RelaySession.ts
@@ -52,10 +52,17 @@
     }
 
     finish(outcome: ForwardOutcome): void {
-        this.outcome = outcome;
+        this.outcome ??= outcome;
         this.wake();
     }
 
+    /** Ends the request for the other host, which learns that it may have run. */
+    end(reason: string): void {
+        this.finish({ kind: "unknown", detail: reason });
+        this.stop.abort();
+        this.resume();
+    }
+
     /** Ends the request. */
     abort(): void {
         this.cancelIdle?.();
--- a/packages/rollout/src/lib/RelayedTargets.ts
+++ b/packages/rollout/src/lib/RelayedTargets.ts
@@ -18,6 +18,7 @@
     type RelaySend,
     type RelayStep,
     RequestPermit,
+    type StopAdmission,
     type TargetEntryView,
 } from "@tamarackpath/core";
 import { type Either, Left, Right } from "purify-ts";
@@ -50,6 +51,7 @@
         private readonly self: HostId,
         private readonly direct: CallTargets,
         private readonly reach: ReachTask,
+        private readonly stop: Pick<StopAdmission, "refusalOf">,
         private readonly choice: RelayChoice,
         private readonly view: HostView,
         private readonly peers: PeerNetwork,
@@ -74,6 +76,11 @@
         return this.sessions.size;
     }
 
+    /** Ends the requests of other hosts; whether they have run is unknown. */
+    endOthers(reason: string): void {
+        this.sessions.forEach(session => session.end(reason));
+    }
+
     /** Whether no target can be reached, neither directly nor through another host. */
     get reachesNothing(): boolean {
         return this.reach.isCutOff && !this.choice.hasAny(this.clock.now());
@@ -246,7 +253,10 @@
     /** Sends a request of another host; a problem in the answer means that nothing was sent. */
     private async sendForOther(ask: RelaySend): Promise<Either<ReturnType<typeof problem>, RelayStep>> {
         const entry = this.view.directory.get(ask.target);
-        const refusal = this.reach.isCutOff
+        const deadline = after(this.clock.now(), ask.leftMs);
+        const refusal = this.stop.refusalOf(deadline, this.clock.now()) !== undefined
+            ? "This host is stopping."
+            : this.reach.isCutOff
             ? "This host reaches no target either."
             : this.sessions.size >= maxSessions
             ? "This host sends too many requests for others."
@@ -260,7 +270,6 @@
         }
         const session = new RelaySession(this.clock, () => this.sessions.delete(ask.relay));
         this.sessions.set(ask.relay, session);
-        const deadline = after(this.clock.now(), ask.leftMs);
         // The permit was taken at the other host, and its request is sent at once.
         const permit = new RequestPermit(ask.target, deadline);
         const { call, maxConnections, shouldUseNewConnection, maxBodyBytes } = ask;
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -61,7 +61,7 @@
     readonly reach: ReachTask;
     /** Undefined where use is not reported. */
     readonly usage: UsageTask | undefined;
-    /** Decides which requests of callers are taken while this host stops. */
+    /** Decides which requests of callers and of other hosts are taken while this host stops. */
     readonly stopAdmission = new StopAdmission();
     private readonly succession: ConductorSuccession;
     private isStopping = false;
@@ -82,6 +82,7 @@
             self,
             ports.targets,
             this.reach,
+            this.stopAdmission,
             relays,
             this.view,
             peers,
@@ -138,7 +139,8 @@
                 seeds,
                 zone,
                 hasCallers,
-                reachesTargets: () => !this.reach.isCutOff,
+                // The conductor names no host that stops to hosts without targets.
+                reachesTargets: () => !this.reach.isCutOff && !this.stopAdmission.isStopping,
                 relaysFor: (host, zoneOfHost) => {
                     void this.succession.leaveJobsToOthers();
                     void this.succession.handOverToBetterHost();
@@ -254,9 +256,16 @@
         this.tasks.deactivate();
     }
 
-    /** Ends the calls of callers that have no answer yet; those that may have run end as unknown. */
+    /** Number of requests that this host sends to targets for other hosts. */
+    get openRelays(): number {
+        return this.targets.sessionCount;
+    }
+
+    /** Ends the calls of callers and of other hosts that have no answer yet; those that may have run end as unknown. */
     endCalls(): void {
-        this.forwarder.endAll("The host is stopping.");
+        const reason = "The host is stopping.";
+        this.forwarder.endAll(reason);
+        this.targets.endOthers(reason);
     }
 
     /** Sends what the conductor needs of this host before its process ends; takes at most half a second. */
--- a/packages/rollout/src/lib/hostsWithoutTargets.test.ts
+++ b/packages/rollout/src/lib/hostsWithoutTargets.test.ts
@@ -1,10 +1,17 @@
 /** Tests of hosts that are cut off from all targets while callers and the other hosts reach them. */
 
 import { createMonotonicClock } from "@tamarackpath/adapters";
-import { asId, type HostId, type RouteKind } from "@tamarackpath/core";
+import { after, asId, type HostId, type RouteKind } from "@tamarackpath/core";
 import { expect } from "chai";
 import { type CallAnswer } from "./CallAnswer.js";
-import { type Fleet, plainService, startFleet, type TargetCut, targetFixture } from "./rolloutFleetFixtures.test.js";
+import {
+    type Arrival,
+    type Fleet,
+    plainService,
+    startFleet,
+    type TargetCut,
+    targetFixture,
+} from "./rolloutFleetFixtures.test.js";
 
 const clock = createMonotonicClock();
 
@@ -19,11 +26,15 @@
 
 const cutHost = asId<HostId>("h1");
 
-function startCutFleet(cuts: Cuts, hosts = 3, answerMs = 15): Promise<Fleet> {
+function startCutFleet(
+    cuts: Cuts,
+    hosts = 3,
+    answerMs: (arrival: Arrival) => number = () => 15,
+): Promise<Fleet> {
     return startFleet(clock, {
         hosts,
         targets: ["a", "b", "c"].map(name => targetFixture(name, plainService)),
-        behaviour: () => ({ ms: answerMs, rateLimit: { kind: "none" } }),
+        behaviour: (unused, arrival) => ({ ms: answerMs(arrival), rateLimit: { kind: "none" } }),
         cutOf: host => cuts.get(host),
     });
 }
@@ -130,6 +141,29 @@
         expect(hostOf(id)).to.equal("h1");
     });
 
+    // Guards against calls that a host begins for another one while it stops, and cuts when it exits.
+    it("send no calls through a host that is stopping, and are told of those that it has when it ends them", async () => {
+        const cuts: Cuts = new Map();
+        fleet = await startCutFleet(cuts, 3, ({ id }) => id === "long" ? 5000 : 15);
+        await cutOff(cuts, "refused");
+        const long = fleet.call(1, { id: "long", kind: "non-idempotent", timeoutMs: 8000 });
+        await fleet.pause(150);
+        const relay = hostOf("long")!;
+        const stopping = fleet.hosts[Number(relay.slice(1))]!;
+        expect(stopping.openRelays).to.equal(1);
+        const drainedAt = after(clock.now(), 2600);
+        stopping.stopAdmission.begin({ drainedAt, endAt: after(drainedAt, 400) });
+        void stopping.resign();
+        const answers = await callSteadily(fleet, 1, "non-idempotent", 110);
+        expect(servedShare(answers, 1500)).to.equal(1);
+        const late = fleet.arrivals.filter(({ path, at }) => path === "send" && at > drainedAt);
+        expect(late.map(({ host }) => host)).to.not.be.empty.and.to.not.include(relay);
+        stopping.endCalls();
+        expect((await long).kind).to.equal("failed");
+        await fleet.pause(20);
+        expect(stopping.openRelays).to.equal(0);
+    });
+
     it("refuse calls at once when no host reaches any target", async () => {
         const cuts: Cuts = new Map();
         fleet = await startCutFleet(cuts);
@@ -156,7 +190,7 @@
 
     it("do not say that a call has not run when the host that sent it for them is lost", async () => {
         const cuts: Cuts = new Map();
-        fleet = await startCutFleet(cuts, 2, 400);
+        fleet = await startCutFleet(cuts, 2, () => 400);
         await cutOff(cuts, "refused");
         const answer = timed(fleet.call(1, { id: "lost", kind: "non-idempotent" }));
         await fleet.pause(100);
@@ -167,7 +201,7 @@
 
     it("end a relayed request when its caller leaves", async () => {
         const cuts: Cuts = new Map();
-        fleet = await startCutFleet(cuts, 2, 600);
+        fleet = await startCutFleet(cuts, 2, () => 600);
         await cutOff(cuts, "refused");
         const left = new AbortController();
         const answer = fleet.call(1, { id: "left", kind: "non-idempotent", callerGone: left.signal });
