--- a/apps/daemon/src/lib/Shutdown.ts
+++ b/apps/daemon/src/lib/Shutdown.ts
@@ -64,6 +64,8 @@
             isDrained = true;
         });
         await this.waitFor(() => isDrained && this.isIdle(), deadline);
+        // Stopping the tasks takes time, in which a request would begin and be cut.
+        this.parts.requests.refuseAll();
         return this.isIdle() || await this.reportUnfinished();
     }
 
--- a/apps/daemon/src/lib/http/OpenRequests.ts
+++ b/apps/daemon/src/lib/http/OpenRequests.ts
@@ -14,7 +14,7 @@
 export class OpenRequests {
     private readonly open = new Set<Response>();
     private isClosing = false;
-    private refusing = false;
+    private refusing: "none" | "without-ticket" | "all" = "none";
 
     get count(): number {
         return this.open.size;
@@ -31,7 +31,7 @@
         if (this.isClosing) {
             res.setHeader("connection", "close");
         }
-        if (this.refusing && req.header(ticketHeader) === undefined) {
+        if (this.refusing === "all" || this.refusing === "without-ticket" && req.header(ticketHeader) === undefined) {
             refuse(req, res);
             return;
         }
@@ -53,7 +53,12 @@
      * has the outcome of the ticket's first request.
      */
     refuseNew(): void {
-        this.refusing = true;
+        this.refusing = "without-ticket";
+    }
+
+    /** Refuses each later request, also one with a ticket, as nothing waits for requests any more. */
+    refuseAll(): void {
+        this.refusing = "all";
     }
 
     /** Ends all open requests with the answer that their outcome is not known, and returns their number. */
