--- a/packages/adapters/src/lib/HttpPlainService.test.ts
+++ b/packages/adapters/src/lib/HttpPlainService.test.ts
@@ -180,4 +180,15 @@
             expect(res.headers["etag"]).to.equal("\"1\"");
         }
     });
+
+    // Guards against an answer of a target in trouble that a caller gets with a status that is none.
+    it("takes an answer whose status is none for no answer", async () => {
+        for (const status of ["000", "001", "099", "101", "199", "2x0", "1000"]) {
+            const target = await createTarget(socket => {
+                socket.write(`HTTP/1.1 ${status} Trouble\r\ncontent-length: 2\r\n\r\nok`);
+            });
+            const failure = (await call(target.port)).swap().toMaybe().extract();
+            expect(failure?.transmission, `at ${status}`).to.equal("some-bytes");
+        }
+    });
 });
