Read no end marks when a host becomes the conductor, and remove expired ones page by page

Cause: the first read of a term took all live keys into memory, the marks of every job that ever ended among them, and it was the only place that removed any: four in a term, while a job ends each second.

Now a new conductor reads the claim and the open jobs; what it takes for open and the store does not, has ended. EndedJobCleanup removes expired marks and results in pages. Marks name their chunks; earlier builds ignore that, and marks without it are cleaned up by reading the results.

Both new tests of LiveKeyWatch failed before. One older test of LiveKeyWatch let the read of all live keys hang; that read is not made any more, so it lets the read of open jobs hang, which has the same part: a new term that cannot read the store yet.

--- a/packages/core/src/lib/ports/TransactionalStore.ts
+++ b/packages/core/src/lib/ports/TransactionalStore.ts
@@ -37,6 +37,12 @@
     readonly asOf: KeyRevision;
 }
 
+/** Some of the items below a prefix, in the order of their keys, with the revision of the store at the read. */
+export interface StoredPage extends StoredRange {
+    /** Whether items follow after the last one. */
+    readonly hasMore: boolean;
+}
+
 /** One change reported by a watch; `item` is undefined when the key was removed. */
 export interface StoredChange {
     readonly key: string;
@@ -75,6 +81,8 @@
 export interface TransactionalStore {
     get(key: string, purpose: StoreCallPurpose): StoreResult<StoredItem | undefined>;
     range(prefix: string, purpose: StoreCallPurpose): StoreResult<StoredRange>;
+    /** The first items below a prefix, as many as the store gives at once, or those after the key `after`. */
+    page(prefix: string, after: string | undefined, purpose: StoreCallPurpose): StoreResult<StoredPage>;
     /** Resolves with the changes after revision `after`, or with none after `waitMs`. */
     changes(prefix: string, after: KeyRevision, waitMs: number, purpose: StoreCallPurpose): StoreResult<StoredChanges>;
     commit(commit: Commit, purpose: StoreCallPurpose): StoreResult<CommitResult>;
--- a/packages/rollout/src/lib/ConductingTasks.ts
+++ b/packages/rollout/src/lib/ConductingTasks.ts
@@ -5,6 +5,7 @@
 import { CapacityStore } from "./CapacityStore.js";
 import { CapacityTask } from "./CapacityTask.js";
 import { type ConductorTask } from "./ConductorTask.js";
+import { EndedJobCleanup } from "./EndedJobCleanup.js";
 import { type HostView } from "./HostView.js";
 import { JobRegistry } from "./JobRegistry.js";
 import { JobRunner } from "./JobRunner.js";
@@ -47,6 +48,7 @@
     /** Undefined where the hosts order no engines; it does nothing while no service has limits for that. */
     readonly capacity: CapacityTask | undefined;
     readonly watch: LiveKeyWatch;
+    private readonly cleanup: EndedJobCleanup;
     private readonly versions: VersionTask;
     private readonly rewards: RewardRunner;
     private readonly runner: JobRunner;
@@ -98,6 +100,7 @@
         );
         this.capacity = this.createCapacityTask();
         this.watch = new LiveKeyWatch(store, this.jobs, this.registry, conductor, clock, journal);
+        this.cleanup = new EndedJobCleanup(settings, store, this.jobs, conductor, clock, journal);
         const { scheduler, registry, runner } = this;
         const handover = new WorkHandover(conductor, scheduler, registry, runner, peers, clock, journal);
         this.handover = handover;
@@ -125,6 +128,7 @@
         this.rewards.activate();
         this.standby.activate();
         this.watch.activate();
+        this.cleanup.activate();
         this.usage?.activate();
         this.capacity?.activate();
     }
@@ -134,6 +138,7 @@
         this.usage?.deactivate();
         this.capacity?.deactivate();
         this.watch.deactivate();
+        this.cleanup.deactivate();
         this.standby.deactivate();
         this.rewards.deactivate();
         this.runner.deactivate();
--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -64,9 +64,6 @@
 /** Milliseconds for which an ended job's results stay in memory. */
 const endedJobTtlMs = 20_000;
 
-/** Ended jobs that one cleanup removes from the store; the rest are left to the next one. */
-const maxJobsPerCleanup = 4;
-
 /** Keeps the jobs of the conductor by id. */
 export class JobRegistry {
     readonly events = new Emittery<JobRegistryEvents>();
@@ -204,6 +201,16 @@
         }
     }
 
+    /** The jobs that have not ended, as far as is known here: those that are open, being opened, or wait for that. */
+    get unended(): ReadonlySet<JobId> {
+        return new Set([
+            ...this.scheduler.open.map(({ job }) => job.id),
+            ...this.opening,
+            ...this.unroutable.keys(),
+            ...this.inherited.keys(),
+        ].filter(job => !this.hasEnded(job)));
+    }
+
     /** Records that every end of a job that the store held at `at` has been applied here. */
     recordEndsKnown(at: Instant): void {
         const isFirst = !this.areEndsKnown(this.clock.now());
@@ -297,8 +304,10 @@
     }
 
     private async writeEnd(open: OpenJob): Promise<boolean> {
-        const { job } = open;
-        const res = await this.jobs.end(job.id, job.tasks.length, partsOf(job), job.organisation);
+        const { job, log } = open;
+        // One more chunk may be on its way.
+        const chunks = log.hasPending ? undefined : log.chunks.length;
+        const res = await this.jobs.end(job.id, job.tasks.length, partsOf(job), job.organisation, chunks);
         if (res.isRight() && this.scheduler.get(job.id) === open) {
             this.close(job.id, job.organisation);
         }
@@ -369,17 +378,6 @@
         }
     }
 
-    /** Removes ended jobs from the store after `keepResultsMs`, for which their results must stay readable. */
-    async removeEndedFromStore(marks: readonly { readonly job: JobId; readonly endedAt: number; }[]): Promise<void> {
-        const old = marks.filter(({ endedAt }) => Date.now() - endedAt > this.options.settings.keepResultsMs);
-        for (const { job } of old.slice(0, maxJobsPerCleanup)) {
-            const chunks = (await this.jobs.results(job)).toMaybe().extract();
-            if (chunks !== undefined) {
-                await this.jobs.removeEnded([{ job, chunks: chunks.length }]);
-            }
-        }
-    }
-
     /** Adopts results that another host listed while this one did not hold the claim. */
     private async refresh(open: OpenJob): Promise<void> {
         const syncMark = open.log.markOutOfSync();
--- a/packages/rollout/src/lib/JobStore.ts
+++ b/packages/rollout/src/lib/JobStore.ts
@@ -27,6 +27,8 @@
 export interface EndedJob {
     readonly total: number;
     readonly endedAt: number;
+    /** Number of the chunks of its results; undefined if the writer did not know it, or in a mark of earlier software. */
+    readonly chunks?: number | undefined;
     /** The organisation that submitted the job; undefined if it had none, or in a mark of earlier software. */
     readonly organisation?: OrganisationId | undefined;
 }
@@ -101,14 +103,20 @@
         }
     }
 
-    /** Ends a job, whose end mark keeps its organisation; Left when it may not have ended. */
+    /** Ends a job, whose end mark keeps its organisation and number of `chunks`; Left when it may not have ended. */
     async end(
         job: JobId,
         total: number,
         parts: number,
         organisation?: OrganisationId,
+        chunks?: number,
     ): Promise<Either<KeyValueFailure, CommitResult>> {
-        const mark: EndedJob = { total, endedAt: Date.now(), ...(organisation === undefined ? {} : { organisation }) };
+        const mark: EndedJob = {
+            total,
+            endedAt: Date.now(),
+            ...(organisation === undefined ? {} : { organisation }),
+            ...(chunks === undefined ? {} : { chunks }),
+        };
         return this.store.commit(
             {
                 expected: [],
@@ -198,18 +206,19 @@
         });
     }
 
-    /** Removes the end marks and the results of ended jobs. */
+    /** Removes the results and the end marks of ended jobs, each mark last, as it leads to what is left after a failure. */
     async removeEnded(jobs: readonly { readonly job: JobId; readonly chunks: number; }[]): Promise<void> {
-        for (const { job, chunks } of jobs) {
-            const removes = [
-                jobKeys.ended(job),
-                ...Array.from({ length: chunks }, (unused, nth) => jobKeys.chunk(job, nth)),
-            ];
-            for (let nth = 0; nth < removes.length; nth += maxKeysPerCommit) {
-                await this.store.commit(
-                    { expected: [], puts: [], removes: removes.slice(nth, nth + maxKeysPerCommit) },
-                    "results",
-                );
+        const removes = jobs.flatMap(({ job, chunks }) => [
+            ...Array.from({ length: chunks }, (unused, nth) => jobKeys.chunk(job, nth)),
+            jobKeys.ended(job),
+        ]);
+        for (let nth = 0; nth < removes.length; nth += maxKeysPerCommit) {
+            const res = await this.store.commit(
+                { expected: [], puts: [], removes: removes.slice(nth, nth + maxKeysPerCommit) },
+                "results",
+            );
+            if (res.isLeft()) {
+                return;
             }
         }
     }
--- a/packages/rollout/src/lib/LiveKeyWatch.test.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.test.ts
@@ -79,6 +79,20 @@
         return release;
     }
 
+    /** Sets whether reads of a key fail. */
+    setUnreadable(key: string, isUnreadable: boolean): void {
+        if (isUnreadable) {
+            this.failing.add(key);
+        }
+        else {
+            this.failing.delete(key);
+        }
+    }
+
+    override async get(key: string): Promise<Either<KeyValueFailure, StoredItem | undefined>> {
+        return this.failing.has(key) ? Left({ applied: "no", detail: "failing" }) : super.get(key);
+    }
+
     override async range(prefix: string): Promise<Either<KeyValueFailure, StoredRange>> {
         const held = this.heldBack.get(prefix);
         if (held !== undefined) {
@@ -206,7 +220,7 @@
         watch.deactivate();
         registry.deactivate();
         registry.activate();
-        store.unanswered.add(jobKeys.live);
+        store.unanswered.add(jobKeys.openPrefix);
         watch.activate();
         answer();
         await clock.advance(watchDelayMs);
@@ -296,4 +310,45 @@
         expect(openIds()).to.deep.equal(["c"]);
         watch.deactivate();
     });
+
+    // Guards against a conductor whose memory is filled by the end marks of days of operation.
+    it("reads no end marks, and closes the jobs that ended while it did not watch", async () => {
+        const clock = createSteppingClock(0);
+        const { store, registry, openIds, watch, keep, end } = watchFixture(new WatchedStore(clock), clock);
+        await keep("a");
+        await keep("b");
+        watch.activate();
+        await settle();
+        expect(openIds()).to.deep.equal(["a", "b"]);
+        watch.deactivate();
+        await end("a");
+        [jobKeys.live, jobKeys.endedPrefix].forEach(prefix => store.unanswered.add(prefix));
+        watch.activate();
+        await settle();
+        expect(openIds()).to.deep.equal(["b"]);
+        expect(registry.hasEnded(asId<JobId>("a"))).to.equal(true);
+        expect(registry.areEndsKnown(clock.now())).to.equal(true);
+        watch.deactivate();
+    });
+
+    // Guards against tasks of an ended job that start because the store did not tell that it has ended.
+    it("does not take the ends of jobs for known while the end of one cannot be read", async () => {
+        const clock = createSteppingClock(0);
+        const { store, registry, watch, keep, end } = watchFixture(new WatchedStore(clock), clock);
+        await keep("a");
+        watch.activate();
+        await settle();
+        watch.deactivate();
+        await end("a");
+        await clock.advance(defaultRolloutSettings.maxUnknownEndMs + 1);
+        store.setUnreadable(jobKeys.ended(asId<JobId>("a")), true);
+        watch.activate();
+        await clock.advance(1000);
+        expect(registry.areEndsKnown(clock.now())).to.equal(false);
+        store.setUnreadable(jobKeys.ended(asId<JobId>("a")), false);
+        await clock.advance(1000);
+        expect(registry.areEndsKnown(clock.now())).to.equal(true);
+        expect(registry.hasEnded(asId<JobId>("a"))).to.equal(true);
+        watch.deactivate();
+    });
 });
--- a/packages/rollout/src/lib/LiveKeyWatch.ts
+++ b/packages/rollout/src/lib/LiveKeyWatch.ts
@@ -1,6 +1,6 @@
 /**
  * Watches the store's live keys while this host conducts: its own claim, jobs that other hosts stored and jobs that
- * they ended. When the store has compacted its history, or a watch gets no answer, the whole range is read again.
+ * they ended. When the store has compacted its history, or a watch gets no answer, the claim and the open jobs are read again.
  */
 
 import {
@@ -9,6 +9,7 @@
     type JobId,
     jobKeys,
     type KeyRevision,
+    type OrganisationId,
     sleepUntil,
     type StoredItem,
     type TransactionalStore,
@@ -93,29 +94,43 @@
         await repeatUntil(() => generation !== this.generation, step, { name: "watch the jobs", clock, journal });
     }
 
+    /**
+     * Reads the claim and the open jobs. End marks are not read, as there may be any number of them: a job that this host takes for
+     * open has ended if the store does not hold it as open any more.
+     */
     private async readAll(generation: number): Promise<KeyRevision | undefined> {
         const startedAt = this.clock.now();
-        const range = (await this.store.range(jobKeys.live, "jobs")).toMaybe().extract();
-        if (range === undefined || generation !== this.generation) {
+        const unended = new Set([...this.registry.unended, ...this.openings.jobs]);
+        const open = (await this.store.range(jobKeys.openPrefix, "jobs")).toMaybe().extract();
+        const claim = open === undefined ? undefined : await this.store.get(jobKeys.claim, "jobs");
+        if (open === undefined || claim === undefined || claim.isLeft() || generation !== this.generation) {
             return undefined;
         }
-        const byKey = new Map(range.items.map(item => [item.key, item]));
-        this.conductor.applyClaimChange(byKey.get(jobKeys.claim), range.asOf);
+        this.conductor.applyClaimChange(claim.toMaybe().extract(), open.asOf);
         if (!this.conductor.isConductor) {
             return undefined;
         }
-        const open = range.items.filter(({ key }) => key.startsWith(jobKeys.openPrefix));
-        const ended = range.items.filter(({ key }) => key.startsWith(jobKeys.endedPrefix));
-        ended.forEach(item => this.closeEnded(item));
+        open.items.forEach(({ key }) => unended.delete(jobOf(key, jobKeys.openPrefix)));
+        if (!await this.closeMissing(unended) || generation !== this.generation) {
+            return undefined;
+        }
         this.registry.recordEndsKnown(startedAt);
-        this.openInBackground(open);
-        void this.registry.removeEndedFromStore(
-            ended.map(item => ({
-                job: jobOf(item.key, jobKeys.endedPrefix),
-                endedAt: (unpack(item.value) as EndedJob).endedAt,
-            })),
-        );
-        return range.asOf;
+        this.openInBackground(open.items);
+        return open.asOf;
+    }
+
+    /** Closes jobs that the store does not hold as open; false if it does not tell how one of them has ended. */
+    private async closeMissing(missing: ReadonlySet<JobId>): Promise<boolean> {
+        for (const job of missing) {
+            const found = (await this.jobs.find(job)).toMaybe().extract();
+            if (found === undefined) {
+                return false;
+            }
+            if (found.kind !== "open") {
+                this.close(job, found.kind === "ended" ? found.ended.organisation : undefined);
+            }
+        }
+        return true;
     }
 
     private async followChanges(asOf: KeyRevision, generation: number): Promise<KeyRevision | undefined> {
@@ -144,14 +159,18 @@
     }
 
     private closeEnded({ key, value }: StoredItem): void {
-        const job = jobOf(key, jobKeys.endedPrefix);
+        this.close(jobOf(key, jobKeys.endedPrefix), (unpack(value) as EndedJob).organisation);
+    }
+
+    /** Closes a job that has ended, also one that waits to be opened. */
+    private close(job: JobId, organisation: OrganisationId | undefined): void {
         // The registry remembers the end of a job for a limited time only, and this one may wait for longer.
         const waiting = this.openings.waiting.findIndex(item => jobOf(item.key, jobKeys.openPrefix) === job);
         if (waiting >= 0) {
             this.openings.waiting.splice(waiting, 1);
             this.openings.jobs.delete(job);
         }
-        this.registry.close(job, (unpack(value) as EndedJob).organisation);
+        this.registry.close(job, organisation);
     }
 
     /**
--- a/packages/rollout/src/lib/MemoryStore.test.ts
+++ b/packages/rollout/src/lib/MemoryStore.test.ts
@@ -12,6 +12,7 @@
     type LeaseId,
     type StoredChanges,
     type StoredItem,
+    type StoredPage,
     type StoredRange,
     type StoreLease,
     type TransactionalStore,
@@ -56,6 +57,16 @@
         return Right({ items: items.sort((a, b) => a.key < b.key ? -1 : 1), asOf: this.revision as KeyRevision });
     }
 
+    /** Number of items in a page. */
+    pageSize = 500;
+
+    async page(prefix: string, after?: string): Promise<Either<KeyValueFailure, StoredPage>> {
+        return (await this.range(prefix)).map(({ items, asOf }) => {
+            const rest = items.filter(({ key }) => after === undefined || key > after);
+            return { items: rest.slice(0, this.pageSize), asOf, hasMore: rest.length > this.pageSize };
+        });
+    }
+
     async changes(): Promise<Either<KeyValueFailure, StoredChanges>> {
         return Right({ kind: "changes", changes: [], asOf: this.revision as KeyRevision });
     }
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -49,6 +49,7 @@
     "job-call-relayed":
         "A job call was sent to the conductor through another host, since this host reaches neither it nor the store.",
     "job-opened": "The conductor has begun to run a job.",
+    "ended-jobs-removed": "Ended jobs and their results were removed from the store, as nobody may read them any more.",
     "job-ended": "A job has ended.",
     "starts-held": "The conductor begins or ends to hold tasks back, since ends of jobs may be unknown to it.",
     "task-started": "A task's run at an engine has started.",
