--- a/packages/rollout/src/lib/hostsWithoutTargets.test.ts
+++ b/packages/rollout/src/lib/hostsWithoutTargets.test.ts
@@ -142,7 +142,7 @@
     });
 
     // Guards against calls that a host begins for another one while it stops, and cuts when it exits.
-    it("send no calls through a host that is stopping, and are told of those that it has when it ends them", async () => {
+    it("send no calls through a host that is stopping, and learn which of theirs it ends", async () => {
         const cuts: Cuts = new Map();
         fleet = await startCutFleet(cuts, 3, ({ id }) => id === "long" ? 5000 : 15);
         await cutOff(cuts, "refused");
