--- a/review/standins-3/fleet.mjs
+++ b/review/standins-3/fleet.mjs
@@ -188,11 +188,17 @@
         clearInterval(this.timer);
     }
 
-    /** Leaves without reporting `draining`: its entry is removed, and it goes on serving. */
-    leave() {
+    /** Leaves without reporting `draining`: its entry is removed, and it goes on serving for `servesOnMs` and exits. */
+    leave(servesOnMs) {
+        const { lab, store } = this.fleet;
         this.stopBeats();
-        this.fleet.store.remove(`servers/${this.settings.instance}`);
-        this.fleet.lab.record(`the entry of worker ${this.settings.instance} is removed`);
+        store.remove(`servers/${this.settings.instance}`);
+        lab.record(`the entry of worker ${this.settings.instance} is removed`);
+        setTimeout(() => {
+            this.exitedAt = Date.now();
+            this.child.kill("SIGKILL");
+            lab.record(`worker ${this.settings.instance} exits`);
+        }, servesOnMs);
     }
 
     signal(signal) {
@@ -226,6 +232,68 @@
     };
 }
 
+/** A configuration with one route whose requests may run once at most, to the plain service. */
+export function configOfOrders(version) {
+    const { routes } = configOf(version);
+    const orders = { ...routes[0], name: "r-orders", prefix: "/orders/", kind: "non_idempotent" };
+    return configOf(version, { routes: [...routes, orders] });
+}
+
+/**
+ * Sends bursts of requests that may run once at most to each entry machine until `stop` is called; keeps what was answered.
+ */
+export class OrderLoad {
+    asked = [];
+    isOn = true;
+
+    constructor(entries, { requests, everyMs }) {
+        entries.forEach(program => void this.run(program, requests, everyMs));
+    }
+
+    async run(program, requests, everyMs) {
+        while (this.isOn) {
+            Array.from({ length: requests }, () => this.ask(program));
+            await sleep(everyMs);
+        }
+    }
+
+    async ask(program) {
+        const sent = { id: newId(), at: Date.now(), program: program.name, status: undefined };
+        this.asked.push(sent);
+        const { status } = await program.call(
+            "POST",
+            `/orders/${sent.id}`,
+            { host: hostName, "tamarackpath-request-id": sent.id, "tamarackpath-deadline-ms": "1500" },
+            Buffer.from("x"),
+        );
+        sent.status = status;
+    }
+
+    stop() {
+        this.isOn = false;
+    }
+
+    get statuses() {
+        const counts = new Map();
+        this.asked.forEach(({ status }) => counts.set(status, (counts.get(status) ?? 0) + 1));
+        return JSON.stringify([...counts]);
+    }
+
+    /**
+     * Judges the requests that `worker` began later than `drainMs` after its entry was removed at `at`, and after `inTouchAt`:
+     * how many there are, the age of the last one, and how many of them got no answer since the worker exited.
+     */
+    judge(worker, at, drainMs, inTouchAt) {
+        const statusOf = new Map(this.asked.map(({ id, status }) => [id, status]));
+        const late = worker.told.filter(({ event, at: begunAt }) =>
+            event === "begin" && begunAt > at + drainMs && begunAt > inTouchAt
+        );
+        const lost = late.filter(({ id }) => statusOf.get(id) !== 200);
+        const lastMs = late.length === 0 ? 0 : Math.max(...late.map(({ at: begunAt }) => begunAt - at));
+        return { late: late.length, lost: lost.length, lastMs };
+    }
+}
+
 let lastId = 0;
 /** An id like those of the consumers. */
 export function newId() {
