End a script's processes whatever ends the script

Cause: a script whose folder was renamed while it ran could not write its record, and left the processes that it had started; they were ended by their ids. Measured: none is left after a run that SIGTERM ends early.

--- a/review/standins-3/lab.mjs
+++ b/review/standins-3/lab.mjs
@@ -53,7 +53,11 @@
             this.record("the script took too long");
             void this.finish(2);
         }, scriptTimeoutMs);
+        // Whatever ends the script, no process that it started stays.
+        process.on("exit", () => this.endChildren());
+        ["SIGTERM", "SIGINT", "SIGHUP"].forEach(signal => process.on(signal, () => process.exit(2)));
         process.on("uncaughtException", err => {
+            this.endChildren();
             this.record(`the script failed: ${err.stack}`);
             void this.finish(2);
         });
@@ -66,14 +70,18 @@
     /** Ends all processes that were started and exits: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
     async finish(code) {
         clearTimeout(this.timer);
-        this.children.filter(({ exitCode, signalCode }) => exitCode === null && signalCode === null)
-            .forEach(child => child.kill("SIGKILL"));
+        this.endChildren();
         this.ends.forEach(end => end());
         this.record(`result: ${["the rule held", "the rule was broken", "the case could not run"][code]}`);
         rmSync(this.temporary, { recursive: true, force: true });
         process.exit(code);
     }
 
+    endChildren() {
+        this.children.filter(({ exitCode, signalCode }) => exitCode === null && signalCode === null)
+            .forEach(child => child.kill("SIGKILL"));
+    }
+
     /** Starts a process whose end belongs to the end of the script. */
     spawn(command, args, options = {}) {
         const child = spawn(command, args, { stdio: ["ignore", "pipe", "pipe"], ...options });
