Name the record in each case, and record each call of a client

Cause: the folders of the cases 11 to 15 did not name record.txt, and the calls of clients and their answers were only counted there. Change: each script states its record.txt, and each call is written to it with its answer, beside what the workers ran.

--- a/review/standins-3/lab.mjs
+++ b/review/standins-3/lab.mjs
@@ -44,8 +44,9 @@
     ends = [];
     startedAt = Date.now();
 
-    constructor(folder) {
-        this.file = join(folder, "record.txt");
+    /** `file` gets what was sent, answered and run. */
+    constructor(file) {
+        this.file = file;
         this.temporary = mkdtempSync(join(tmpdir(), "review-"));
         writeFileSync(this.file, "");
         this.record(`TROUBLE=${isTroubled ? 1 : 0}`);
@@ -246,9 +247,16 @@
         });
     }
 
-    /** Sends a call of a consumer on a new connection. */
-    call(method, path, headers = {}, body = Buffer.alloc(0), timeoutMs = 5000) {
-        return call(this.settings.listen.front, method, path, headers, body, timeoutMs);
+    /** Sends a call of a consumer on a new connection, and records it with its answer. */
+    async call(method, path, headers = {}, body = Buffer.alloc(0), timeoutMs = 5000) {
+        const sentAt = Date.now();
+        const answer = await call(this.settings.listen.front, method, path, headers, body, timeoutMs);
+        const sentAfter = ((sentAt - this.lab.startedAt) / 1000).toFixed(3);
+        this.lab.record(
+            `client: sent at ${sentAfter} to ${this.name}: ${method} ${path}, ${body.length} bytes; answered: ${answer.status}, `
+                + `${answer.body.length} bytes`,
+        );
+        return answer;
     }
 
     async isReady() {
