Review case 20: a late copy of a failure counts as a second failure of an item

Cause: the next run of an item that has failed may use the kept connection on which a second copy of that failure is still to come. It bears the item's id.

Change: a script in which one of eight workers fails two runs of an item and sends one second copy late.

--- /dev/null
+++ b/review/20/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Plays the case; exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+exec node "$(dirname "$0")/run.mjs"
