--- a/review/16/run.mjs
+++ b/review/16/run.mjs
@@ -3,8 +3,7 @@
  * Checks that the items of the submission are still run, or listed as given up.
  */
 
-import { dirname } from "node:path";
-import { fileURLToPath } from "node:url";
+import { join } from "node:path";
 import { configOf, endSubmission, readResults, submissionOf, submit } from "../standins-4/config.mjs";
 import { Bench, sleep, startHosts, Store } from "../standins-4/lib.mjs";
 import { ModelWorker } from "../standins-4/worker.mjs";
@@ -20,7 +19,7 @@
 
 const itemCount = 24;
 
-const bench = new Bench(dirname(fileURLToPath(import.meta.url)));
+const bench = new Bench(join(import.meta.dirname, "record.txt"));
 const store = await new Store(bench).listen();
 store.write("op/config", configOf(1));
 const workers = await Promise.all(["za", "zb"].map(zone =>
--- a/review/19/run.mjs
+++ b/review/19/run.mjs
@@ -4,8 +4,7 @@
  */
 
 import http from "node:http";
-import { dirname } from "node:path";
-import { fileURLToPath } from "node:url";
+import { join } from "node:path";
 import { configOf } from "../standins-4/config.mjs";
 import { Bench, sleep, startHosts, Store } from "../standins-4/lib.mjs";
 import { eventOf, readStream, streamOf, streamRouteOf, StreamWorker } from "../standins-4/streams.mjs";
@@ -17,7 +16,7 @@
 /** The request of the faulty worker that is broken off: one in 48 answers, of one of two workers. */
 const brokenRequest = 5;
 
-const bench = new Bench(dirname(fileURLToPath(import.meta.url)));
+const bench = new Bench(join(import.meta.dirname, "record.txt"));
 const store = await new Store(bench).listen();
 store.write("op/config", configOf(1, { routes: [streamRouteOf(10_000)] }));
 const [faulty] = await Promise.all(
--- a/review/20/run.mjs
+++ b/review/20/run.mjs
@@ -3,8 +3,7 @@
  * next run is expected. Checks that no item is given up before `max_attempts` failures.
  */
 
-import { dirname } from "node:path";
-import { fileURLToPath } from "node:url";
+import { join } from "node:path";
 import { configOf, endSubmission, readResults, submissionOf, submit } from "../standins-4/config.mjs";
 import { Bench, sleep, startHosts, Store } from "../standins-4/lib.mjs";
 import { ModelWorker } from "../standins-4/worker.mjs";
@@ -19,7 +18,7 @@
 const slots = 12;
 const itemCount = workerCount * slots;
 
-const bench = new Bench(dirname(fileURLToPath(import.meta.url)));
+const bench = new Bench(join(import.meta.dirname, "record.txt"));
 const store = await new Store(bench).listen();
 store.write("op/config", configOf(1));
 const zones = ["za", "zb", "zc"];
--- a/review/standins-4/lib.mjs
+++ b/review/standins-4/lib.mjs
@@ -40,9 +40,10 @@
 
 /** Records what was sent, answered and run, and tracks what must be ended with the test. */
 export class Bench {
-    constructor(folder) {
+    /** `recordFile` is the case's record.txt, which is written anew. */
+    constructor(recordFile) {
         this.startedAt = Date.now();
-        this.file = join(folder, "record.txt");
+        this.file = recordFile;
         this.folder = mkdtempSync(join(tmpdir(), "review-"));
         this.children = [];
         this.closers = [];
