Carry accepted jobs out after their route is gone

Cause: a job's terms were taken from the route of the moment and kept in the memory of the conductor that had opened it. The next one found no route and put the job aside, where nothing ran it, gave it up or listed it. Evidence: on the successor logs conductor-claimed and handover-taken, and no job-opened.

A job is now stored with the terms on which it was accepted and the revision that they come from, and core/jobs/JobTerms.ts decides at each host on what terms it runs, or that it is over. Jobs whose service is gone too, and those that earlier software stored without terms, are listed as failed instead of waiting. A route for other requests that matches the job's path is no longer taken for the job's route: before, tasks were sent to the plain service behind it, also by the first conductor.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -48,6 +48,7 @@
 export * from "./lib/jobs/Job.js";
 export * from "./lib/jobs/JobLog.js";
 export * from "./lib/jobs/JobScheduler.js";
+export * from "./lib/jobs/JobTerms.js";
 export * from "./lib/jobs/LeavingMoves.js";
 export * from "./lib/jobs/MovePlan.js";
 export * from "./lib/jobs/PaceTracker.js";
--- a/packages/core/src/lib/jobs/Job.ts
+++ b/packages/core/src/lib/jobs/Job.ts
@@ -9,6 +9,7 @@
     type TaskId,
     type WeightVersion,
 } from "../ids.js";
+import { type JobTerms } from "./JobTerms.js";
 
 /** A request to a scoring service, sent once the text of its task is complete. It may be repeated. */
 export interface RewardCall {
@@ -50,6 +51,8 @@
     readonly minVersion: WeightVersion;
     /** Number of complete groups that the trainer waits for. */
     readonly targetGroups: number;
+    /** The terms on which it was accepted; undefined if its route was not known then, or in records of earlier software. */
+    readonly acceptedTerms?: JobTerms | undefined;
     readonly tasks: readonly Task[];
 }
 
--- a/packages/core/src/lib/jobs/JobScheduler.ts
+++ b/packages/core/src/lib/jobs/JobScheduler.ts
@@ -23,22 +23,11 @@
 import { chooseEngine, type EngineCapacity } from "./enginePlacement.js";
 import { type Job, type Task, type TaskResult } from "./Job.js";
 import { type JobLog } from "./JobLog.js";
+import { type JobTerms } from "./JobTerms.js";
 import { fitSoftware } from "./softwareFit.js";
 import { orderTasks } from "./taskOrder.js";
 import { type ProgressSnapshot, TaskProgress, type TextId } from "./TaskProgress.js";
 
-/** The settings that a job's tasks take from its route. */
-export interface JobTerms {
-    readonly service: ServiceId;
-    readonly maxAttempts: number;
-    readonly priority: number;
-    readonly singleVersion: boolean;
-    /** From when on a waiting task may be given up. */
-    readonly expiresAt: Instant;
-    /** By when all results are due. */
-    readonly dueAt: Instant;
-}
-
 /** A task that runs or waits to run. */
 export interface TaskRun {
     readonly task: Task;
--- a/packages/core/src/lib/jobs/jobFixtures.test.ts
+++ b/packages/core/src/lib/jobs/jobFixtures.test.ts
@@ -2,6 +2,7 @@
 
 import {
     asId,
+    type ConfigRevision,
     type GroupId,
     type Incarnation,
     type Instant,
@@ -15,7 +16,8 @@
 } from "../ids.js";
 import { type EngineCapacity } from "./enginePlacement.js";
 import { type Job, type RewardCall, type Task } from "./Job.js";
-import { JobScheduler, type JobTerms } from "./JobScheduler.js";
+import { JobScheduler } from "./JobScheduler.js";
+import { type JobTerms } from "./JobTerms.js";
 
 export function schedulerFixture(): JobScheduler {
     let serial = 0;
@@ -57,6 +59,7 @@
 
 export function termsFixture(changes: Partial<JobTerms> = {}): JobTerms {
     return {
+        configRevision: 1 as ConfigRevision,
         service: asId<ServiceId>("s"),
         maxAttempts: 3,
         priority: 1,
--- a/packages/rollout/src/lib/ConductingTasks.ts
+++ b/packages/rollout/src/lib/ConductingTasks.ts
@@ -1,6 +1,6 @@
 /** Composes the tasks that run while this host conducts, and starts and stops them together. */
 
-import { type CallTargets, type HostId, JobScheduler, type RolloutEngines } from "@tamarackpath/core";
+import { type CallTargets, decideTerms, type HostId, JobScheduler, type RolloutEngines } from "@tamarackpath/core";
 import { CapacityDemandMeter } from "./CapacityDemandMeter.js";
 import { CapacityStore } from "./CapacityStore.js";
 import { CapacityTask } from "./CapacityTask.js";
@@ -10,7 +10,6 @@
 import { JobRegistry } from "./JobRegistry.js";
 import { JobRunner } from "./JobRunner.js";
 import { JobStore } from "./JobStore.js";
-import { jobTermsOf } from "./jobTermsOf.js";
 import { LiveKeyWatch } from "./LiveKeyWatch.js";
 import { type RequestPermits } from "./RequestPermits.js";
 import { RewardRunner } from "./RewardRunner.js";
@@ -64,7 +63,8 @@
         this.registry = new JobRegistry(
             {
                 settings,
-                termsOf: job => jobTermsOf(job, view.routes),
+                decideTerms: (job, known, seenAt) =>
+                    decideTerms(job, known, view.routes, (view.configProvenAt ?? -Infinity) > seenAt),
                 fence: () => conductor.term.currentClaim?.fence,
                 onClaimChanged: (item, fence) => conductor.applyClaimChange(item, item?.revision ?? fence),
             },
--- a/packages/rollout/src/lib/JobCallHandler.test.ts
+++ b/packages/rollout/src/lib/JobCallHandler.test.ts
@@ -6,7 +6,7 @@
 import { type ConductorTask } from "./ConductorTask.js";
 import { JobCallHandler } from "./JobCallHandler.js";
 import { type RegistryFixture, registryFixture } from "./jobRegistryFixtures.test.js";
-import { engineJobFixture } from "./jobRunnerFixtures.test.js";
+import { engineJobFixture, engineTermsFixture } from "./jobRunnerFixtures.test.js";
 import { noopJournal } from "./Journal.js";
 import { MemoryTransactionalStore } from "./MemoryStore.test.js";
 import { createSteppingClock } from "./steppingClock.test.js";
@@ -40,6 +40,7 @@
         {
             self: asId<HostId>("self"),
             maxPageBytes: 1,
+            termsOf: () => engineTermsFixture,
             isCutOff: () => relay !== undefined,
             chooseRelay: tried => relay === undefined || tried.has(relay) ? undefined : relay,
         },
--- a/packages/rollout/src/lib/JobCallHandler.ts
+++ b/packages/rollout/src/lib/JobCallHandler.ts
@@ -16,6 +16,7 @@
     type JobId,
     type JobRequestName,
     type JobSubmission,
+    type JobTerms,
     type JobUnknown,
     mayAccessJob,
     msUntil,
@@ -42,6 +43,8 @@
     readonly self: HostId;
     /** Upper limit of a page of results, in bytes. */
     readonly maxPageBytes: number;
+    /** The terms of a job by the configuration in force here; undefined without a route for it. */
+    readonly termsOf: (job: Job) => JobTerms | undefined;
 }
 
 /** Milliseconds that the conductor has for an answer in addition to the wait that the call allows. */
@@ -82,7 +85,8 @@
     }
 
     /** Stores a job, retrying until shortly before `deadline`; "unknown" means that it may be stored. */
-    async submit(job: Job, deadline: Instant): Promise<JobAcceptance> {
+    async submit(submitted: Job, deadline: Instant): Promise<JobAcceptance> {
+        const job = this.withTerms(submitted);
         const retryUntil = after(deadline, -submitAnswerMarginMs);
         const { acceptance, route } = await this.submitToConductorOrStore(job, retryUntil);
         const event = {
@@ -182,8 +186,16 @@
             : Left(notConductor);
     }
 
+    /** Adds the terms on which a job is accepted, unless the host that its caller submitted it to has added them. */
+    private withTerms(job: Job): Job {
+        const acceptedTerms = job.acceptedTerms ?? this.options.termsOf(job);
+        return acceptedTerms === undefined ? job : { ...job, acceptedTerms };
+    }
+
     /** Stores a job and opens it on this host, which is the conductor, unless the job has ended. */
-    private async storeAndOpen(job: Job, deadline: Instant): Promise<JobAcceptance> {
+    private async storeAndOpen(submitted: Job, deadline: Instant): Promise<JobAcceptance> {
+        // A host of earlier software sends a job without its terms.
+        const job = this.withTerms(submitted);
         if (this.registry.has(job.id) && !this.isOpenTo(job.id, job.organisation)) {
             return { outcome: "other-owner" };
         }
--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -8,6 +8,7 @@
     type Clock,
     type Instant,
     type Job,
+    type JobFate,
     type JobId,
     JobLog,
     type JobScheduler,
@@ -20,6 +21,7 @@
     type TaskRun,
 } from "@tamarackpath/core";
 import Emittery from "emittery";
+import { isDeepStrictEqual } from "node:util";
 import { type JobStore, partsOf } from "./JobStore.js";
 import { type Journal } from "./Journal.js";
 import { ResultWriter, type ResultWriterOptions } from "./ResultWriter.js";
@@ -38,8 +40,11 @@
 /** Options of a job registry. */
 export interface JobRegistryOptions extends ResultWriterOptions {
     readonly settings: RolloutSettings;
-    /** The terms of a job by the routes in force, or undefined when no route matches it. */
-    readonly termsOf: (job: Job) => JobTerms | undefined;
+    /**
+     * Decides on what terms a job runs under the configuration in force, which is known to be as new as the job if it was proven
+     * after `seenAt`; `known` are the terms that are known of the job.
+     */
+    readonly decideTerms: (job: Job, known: JobTerms | undefined, seenAt: Instant) => JobFate;
 }
 
 /** The results of a job in memory. */
@@ -78,8 +83,8 @@
     private opening = new Set<JobId>();
     /** Results from a previous conductor, for jobs that are not open here yet. */
     private readonly inherited = new Map<JobId, TaskResult[]>();
-    /** Stored jobs that match no known route yet. */
-    private readonly unroutable = new Map<JobId, Job>();
+    /** Stored jobs about which too little is known yet to run them or to give them up, and since when they are known here. */
+    private readonly undecided = new Map<JobId, { readonly job: Job; readonly seenAt: Instant; }>();
     private isActive = false;
     /** A time until which all ends of jobs in the store are known here; undefined before the first read. */
     private endsKnownUntil: Instant | undefined;
@@ -118,7 +123,7 @@
         // It says something about the ends that have just been dropped.
         this.endsKnownUntil = undefined;
         this.opening = new Set();
-        this.unroutable.clear();
+        this.undecided.clear();
         this.inherited.clear();
     }
 
@@ -148,12 +153,13 @@
         if (!this.canOpen || this.opening.has(job.id) || this.has(job.id)) {
             return;
         }
-        const terms = this.options.termsOf(job);
-        if (terms === undefined) {
-            this.unroutable.set(job.id, job);
+        const { seenAt } = this.undecided.get(job.id) ?? { seenAt: this.clock.now() };
+        const fate = this.options.decideTerms(job, job.acceptedTerms, seenAt);
+        if (fate.kind === "undecided") {
+            this.undecided.set(job.id, { job, seenAt });
             return;
         }
-        this.unroutable.delete(job.id);
+        this.undecided.delete(job.id);
         const { opening } = this;
         opening.add(job.id);
         try {
@@ -164,7 +170,7 @@
             }
             (this.inherited.get(job.id) ?? []).forEach(result => log.add(result));
             this.inherited.delete(job.id);
-            const open = this.scheduler.add(job, terms, log);
+            const open = this.scheduler.add(job, fate.terms, log);
             void this.writer.write(open);
             this.journal.log("job-opened", {
                 job: job.id,
@@ -172,6 +178,8 @@
                 tasks: job.tasks.length,
                 listed: log.listed.length,
                 minVersion: job.minVersion,
+                terms: fate.kind,
+                config: fate.terms.configRevision,
                 resumed: open.waiting.filter(run => run.progress.eventCount > 0).length,
             });
             await this.events.emit("opened", open);
@@ -187,26 +195,47 @@
     }
 
     /**
-     * Applies the routes in force: open jobs get the terms of their route, and jobs that waited for a route are opened.
+     * Applies the routes in force: open jobs get the terms of their route, or keep those that they have, and undecided jobs are
+     * opened.
      */
     async applyRoutes(): Promise<void> {
         for (const open of this.scheduler.open) {
-            open.terms = this.options.termsOf(open.job) ?? open.terms;
+            this.applyTerms(open);
         }
-        for (const job of [...this.unroutable.values()]) {
+        await this.openUndecided();
+    }
+
+    /** Opens the jobs about which enough is known by now. */
+    async openUndecided(): Promise<void> {
+        for (const waiting of [...this.undecided.values()]) {
             // The job may have ended while the ones before it were opened, and its end may be forgotten by now.
-            if (this.unroutable.get(job.id) === job) {
-                await this.open(job, false);
+            if (this.undecided.get(waiting.job.id) === waiting) {
+                await this.open(waiting.job, false);
             }
         }
     }
 
+    private applyTerms(open: OpenJob): void {
+        const fate = this.options.decideTerms(open.job, open.terms, this.clock.now());
+        if (fate.kind === "undecided" || isDeepStrictEqual(fate.terms, open.terms)) {
+            return;
+        }
+        open.terms = fate.terms;
+        this.journal.log("job-terms-changed", {
+            job: open.job.id,
+            terms: fate.kind,
+            config: fate.terms.configRevision,
+            service: fate.terms.service,
+            waiting: open.waiting.length,
+        });
+    }
+
     /** The jobs that have not ended, as far as is known here: those that are open, being opened, or wait for that. */
     get unended(): ReadonlySet<JobId> {
         return new Set([
             ...this.scheduler.open.map(({ job }) => job.id),
             ...this.opening,
-            ...this.unroutable.keys(),
+            ...this.undecided.keys(),
             ...this.inherited.keys(),
         ].filter(job => !this.hasEnded(job)));
     }
@@ -331,7 +360,7 @@
     close(id: JobId, organisation?: OrganisationId): void {
         const open = this.scheduler.get(id);
         if (open === undefined) {
-            this.unroutable.delete(id);
+            this.undecided.delete(id);
             this.inherited.delete(id);
             if (!this.hasEnded(id)) {
                 this.endedUnopened.set(id, { knownAt: this.clock.now(), organisation });
--- a/packages/rollout/src/lib/JobRunner.ts
+++ b/packages/rollout/src/lib/JobRunner.ts
@@ -300,6 +300,7 @@
         }
         this.cancelExpiry = this.clock.callAt(after(this.clock.now(), expiryIntervalMs), () => this.expire());
         this.registry.dropEndedFromMemory();
+        void this.registry.openUndecided();
         // Submission times are wall-clock times of other hosts, so they are compared with this host's wall clock.
         const wallNow = Date.now() as ReturnType<Clock["now"]>;
         this.scheduler.expire(wallNow).forEach(({ open, result }) => this.registry.addResult(open, result));
--- a/packages/rollout/src/lib/RolloutHost.ts
+++ b/packages/rollout/src/lib/RolloutHost.ts
@@ -8,6 +8,7 @@
     sleepUntil,
     StopAdmission,
     type TargetResponse,
+    termsByRoute,
 } from "@tamarackpath/core";
 import { CallForwarder } from "./CallForwarder.js";
 import { type CapacityTask } from "./CapacityTask.js";
@@ -162,6 +163,7 @@
             {
                 self,
                 maxPageBytes,
+                termsOf: job => termsByRoute(job, this.view.routes),
                 isCutOff: () => this.isCutOff,
                 chooseRelay: tried => relays.choose(tried, clock.now()),
             },
--- a/packages/rollout/src/lib/jobRegistryFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRegistryFixtures.test.ts
@@ -1,6 +1,6 @@
 /** Builders of a conductor's job registry over a store, for the tests of this folder. */
 
-import { type Clock, type JobId, JobScheduler, type JobTerms, type KeyRevision } from "@tamarackpath/core";
+import { type Clock, type JobFate, type JobId, JobScheduler, type KeyRevision } from "@tamarackpath/core";
 import { JobRegistry } from "./JobRegistry.js";
 import { engineTermsFixture } from "./jobRunnerFixtures.test.js";
 import { JobStore } from "./JobStore.js";
@@ -29,7 +29,8 @@
     const registry = new JobRegistry(
         {
             settings: defaultRolloutSettings,
-            termsOf: (): JobTerms | undefined => isRouted ? engineTermsFixture : undefined,
+            decideTerms: (): JobFate =>
+                isRouted ? { kind: "by-route", terms: engineTermsFixture } : { kind: "undecided" },
             fence: () => fence as KeyRevision | undefined,
             onClaimChanged: () => undefined,
         },
--- a/packages/rollout/src/lib/jobRunnerFixtures.test.ts
+++ b/packages/rollout/src/lib/jobRunnerFixtures.test.ts
@@ -109,6 +109,7 @@
 }
 
 export const engineTermsFixture: JobTerms = {
+    configRevision: 1 as ConfigRevision,
     service: engineService,
     maxAttempts: 3,
     priority: 1,
@@ -184,6 +185,7 @@
         events: new Emittery<JobRegistryEvents>(),
         addResult: (unused: unknown, result: TaskResult) => results.push(result),
         dropEndedFromMemory: () => undefined,
+        openUndecided: async () => undefined,
         get sendDeadline() {
             return state.sendDeadline;
         },
--- a/packages/rollout/src/lib/journalEvents.ts
+++ b/packages/rollout/src/lib/journalEvents.ts
@@ -48,7 +48,9 @@
     "job-unsure": "It is not known whether a job is stored.",
     "job-call-relayed":
         "A job call was sent to the conductor through another host, since this host reaches neither it nor the store.",
-    "job-opened": "The conductor has begun to run a job.",
+    "job-opened": "The conductor has begun to run a job, by its route or on terms known from before, or to give it up.",
+    "job-terms-changed":
+        "Another configuration changes the terms of an open job, leaves it without a route, or ends it.",
     "ended-jobs-removed": "Ended jobs and their results were removed from the store, as nobody may read them any more.",
     "job-ended": "A job has ended.",
     "starts-held": "The conductor begins or ends to hold tasks back, since ends of jobs may be unknown to it.",
--- a/packages/rollout/src/lib/scoringFixtures.test.ts
+++ b/packages/rollout/src/lib/scoringFixtures.test.ts
@@ -2,6 +2,7 @@
 
 import {
     asId,
+    type ConfigRevision,
     type GroupId,
     type Incarnation,
     type Instant,
@@ -44,6 +45,7 @@
 /** Opens a job with `tasks` in `scheduler`, whose texts "text" are complete. */
 export function addScoringJob(scheduler: JobScheduler, tasks: readonly TaskId[]): readonly TaskRun[] {
     const terms = {
+        configRevision: 1 as ConfigRevision,
         service: asId<ServiceId>("engines"),
         maxAttempts: 1,
         priority: 1,
