--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./lib/answers/RunPhase.js";
 export * from "./lib/answers/RunRegistry.js";
 export * from "./lib/answers/Ticket.js";
+export * from "./lib/calls/AnswerHistory.js";
 export * from "./lib/calls/CallAttempts.js";
 export * from "./lib/calls/RouteTable.js";
 export * from "./lib/calls/TargetSelector.js";
