Break off streams that end within an event

Cause: the end of the body was taken for the end of the answer, in each framing, and nothing looked at the events. EventFraming in core now follows the lines of a stream of events; an answer that ends within an event counts as lost, directly and through another host.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./lib/answers/Ticket.js";
 export * from "./lib/calls/AnswerHistory.js";
 export * from "./lib/calls/CallAttempts.js";
+export * from "./lib/calls/EventFraming.js";
 export * from "./lib/calls/RouteTable.js";
 export * from "./lib/calls/TargetSelector.js";
 export * from "./lib/capacity/CapacityInput.js";
--- a/packages/rollout/src/lib/RelayedTargets.ts
+++ b/packages/rollout/src/lib/RelayedTargets.ts
@@ -26,6 +26,7 @@
 import { type Journal } from "./Journal.js";
 import { type ReachTask } from "./ReachTask.js";
 import { RelaySession } from "./RelaySession.js";
+import { requireWholeAnswer } from "./wholeAnswers.js";
 
 type SendOptions = Parameters<CallTargets["send"]>[2];
 
@@ -138,7 +139,10 @@
             options.onSent?.();
         };
         try {
-            const end = await this.direct.send(target, call, { ...options, onSent }, stop.signal);
+            const end = await requireWholeAnswer(
+                options.streamHandler,
+                streamHandler => this.direct.send(target, call, { ...options, onSent, streamHandler }, stop.signal),
+            );
             if (isGivenUp) {
                 return "not-sent";
             }
@@ -171,7 +175,11 @@
             tried.add(host);
             const startedAt = this.clock.now();
             options.onSent?.();
-            const end = await this.relayThrough(host, target, call, options, signal);
+            // The host that sends it may be of earlier software, which does not check this.
+            const end = await requireWholeAnswer(
+                options.streamHandler,
+                streamHandler => this.relayThrough(host, target, call, { ...options, streamHandler }, signal),
+            );
             this.journal.log("call-relayed", {
                 call: call.id,
                 target: target.target,
@@ -273,14 +281,18 @@
         // The permit was taken at the other host, and its request is sent at once.
         const permit = new RequestPermit(ask.target, deadline);
         const { call, maxConnections, shouldUseNewConnection, maxBodyBytes } = ask;
-        void this.direct.send(entry, call, {
+        const options = {
             deadline,
             permit,
             maxConnections,
             shouldUseNewConnection,
-            streamHandler: ask.isStream ? session : undefined,
             ...(maxBodyBytes === undefined ? {} : { maxBodyBytes }),
-        }, session.signal).then(
+        };
+        // The host that asks may be of earlier software, which does not check this.
+        void requireWholeAnswer(
+            ask.isStream ? session : undefined,
+            streamHandler => this.direct.send(entry, call, { ...options, streamHandler }, session.signal),
+        ).then(
             outcome => session.finish(outcome),
             (err: unknown) => session.finish({ kind: "unknown", detail: String(err) }),
         );
--- a/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
+++ b/packages/rollout/src/lib/rolloutFleetFixtures.test.ts
@@ -92,6 +92,8 @@
     readonly run?: TaskRunOutcome;
     /** Whether a stream breaks off after its head. */
     readonly breaksOff?: boolean;
+    /** The bytes of a stream of events; without them a stream is one byte of no known type. */
+    readonly events?: string;
 }
 
 /** A line of a host's journal. */
@@ -431,10 +433,12 @@
                                 return failure;
                             }
                             onSent?.();
-                            const { call: outcome, breaksOff } = await reach(self, entry, "send", call.id, call);
+                            const does = await reach(self, entry, "send", call.id, call);
+                            const { call: outcome, breaksOff, events } = does;
                             if (streamHandler !== undefined && outcome === undefined) {
-                                streamHandler.onHead({ status: 200, signature: "s", headers: [] });
-                                await streamHandler.onChunk(new Uint8Array([1]));
+                                const headers = events === undefined ? [] : ["content-type", "text/event-stream"];
+                                streamHandler.onHead({ status: 200, signature: "s", headers });
+                                await streamHandler.onChunk(Buffer.from(events ?? "1"));
                                 return breaksOff === true
                                     ? { kind: "unknown", detail: "reset", isConnectionLost: true }
                                     : { kind: "streamed" };
