Remember fewer answered ids for each connection to a worker

Review of: the limit of 1,024 ids held for each connection, where it had been 4,096 for each worker with all its connections, so a conductor with many workers could have kept several times as many. With 256 the sum stays about that of before; an id comes again within seconds, and a connection carries one request at a time. Nothing else changes.

--- a/packages/core/src/lib/calls/AnswerHistory.ts
+++ b/packages/core/src/lib/calls/AnswerHistory.ts
@@ -5,7 +5,7 @@
  */
 
 /** Upper limit of the ids that are remembered for a connection; the oldest is forgotten first. */
-const maxAnsweredIds = 1024;
+const maxAnsweredIds = 256;
 
 /** Remembers the answers on one connection. */
 export class AnswerHistory {
