Apply a route that moves while the results of its job are read

The terms are decided again once the job is open. The new test in JobRegistry.test.ts failed before.

--- a/packages/rollout/src/lib/JobRegistry.test.ts
+++ b/packages/rollout/src/lib/JobRegistry.test.ts
@@ -1,6 +1,6 @@
 /** Tests that only the holder of the claim opens jobs. */
 
-import { asId, type JobId, jobKeys, type KeyValueFailure, type StoredRange } from "@tamarackpath/core";
+import { asId, type JobId, jobKeys, type KeyValueFailure, type ServiceId, type StoredRange } from "@tamarackpath/core";
 import { expect } from "chai";
 import { type Either, Left } from "purify-ts";
 import { type RegistryFixture, registryFixture } from "./jobRegistryFixtures.test.js";
@@ -156,6 +156,19 @@
         expect(registry.hasEnded(a)).to.equal(true);
     });
 
+    // Guards against tasks that are sent to the service of an older configuration until the next one comes.
+    it("follows a route that moves while the results of its job are read", async () => {
+        const { registry, store, clock, setTerms } = fixture();
+        store.unreadable.add(a);
+        const opening = registry.open(engineJobFixture("a", 1), false);
+        setTerms({ service: asId<ServiceId>("moved") });
+        await registry.applyRoutes();
+        store.unreadable.clear();
+        await clock.advance(1000);
+        await opening;
+        expect(registry.scheduler.get(a)?.terms.service).to.equal("moved");
+    });
+
     // Guards against a job that is never run because an opening of an earlier term has not ended.
     it("opens a job while an opening of an earlier term waits for an answer", async () => {
         const { registry, store, clock, openIds } = fixture();
--- a/packages/rollout/src/lib/JobRegistry.ts
+++ b/packages/rollout/src/lib/JobRegistry.ts
@@ -171,6 +171,8 @@
             (this.inherited.get(job.id) ?? []).forEach(result => log.add(result));
             this.inherited.delete(job.id);
             const open = this.scheduler.add(job, fate.terms, log);
+            // Another configuration may have come into force while the results were read.
+            this.applyTerms(open);
             void this.writer.write(open);
             this.journal.log("job-opened", {
                 job: job.id,
