--- a/packages/core/src/lib/calls/AnswerHistory.ts
+++ b/packages/core/src/lib/calls/AnswerHistory.ts
@@ -21,7 +21,7 @@
         }
     }
 
-    /** Whether the answer to a request that is sent on the connection could not be told from an earlier one. */
+    /** Whether an earlier answer could be mistaken for the answer to a request that is sent on the connection. */
     isAmbiguous(id: string | undefined): boolean {
         return this.ids.has(id);
     }
--- a/packages/core/src/lib/calls/EventFraming.test.ts
+++ b/packages/core/src/lib/calls/EventFraming.test.ts
@@ -56,7 +56,7 @@
         );
     });
 
-    it("is told by its content type", () => {
+    it("is recognised by its content type", () => {
         expect(eventFramingOf(["Content-Type", "text/event-stream; charset=utf-8"])).to.not.equal(undefined);
         expect(eventFramingOf(["x", "content-type", "content-type", "application/json"])).to.equal(undefined);
         expect(eventFramingOf(["x", "text/event-stream"])).to.equal(undefined);
